Turn away ids in use and strange heads; evict strangers before clients

Windows 10 to 20 s lost 8 to 17% of usual reqs unsent (tries with no attempt): connections that only asked /healthz and silent ones filled the cap, and Front.opened evicted the longest resting ones, who are the usual clients. First bytes come 0.2 ms (median) to 27 ms after a usual client connects, so 0.3 s of silence tells a bad one.

At fault: FrontConnection.req (no look at open ids), WHOLE_WITHIN of 30 s, no limit for connections that never speak, Front.opened (whom it evicts), ReqHead.of and MessageReader.readHead (what they let pass), and the fixed spare of 100 descriptors where 11 are used. A client's X-Timeout beyond its class made the module take all others for late (found by a test): it is now capped.

--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -15,7 +15,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
@@ -24,10 +23,10 @@
 
 /** Joins the parts of one real dispatcher on its event loop, and ends it on SIGTERM. */
 final class Server {
-    /** Descriptors that are no connections: the program's files, its streams, the selector, some to spare. */
-    private static final int SPARE_DESCRIPTORS = 100;
-    /** The part of all connections that clients may hold; the rest leads to backends. */
-    private static final double CLIENT_PART = 0.6;
+    /** Descriptors that are no connections of the front or to backends: files, the selector, the director, some over. */
+    private static final int SPARE_DESCRIPTORS = 48;
+    /** What bodies may hold until their reqs are answered. */
+    private static final long MAX_HELD = 12 << 20;
 
     private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Clock clock = new Clock();
@@ -60,15 +59,16 @@
 
     private ChannelFuture start(Config config) {
         Dispatch.Settings settings = config.settings();
-        int connections = config.sockets() - SPARE_DESCRIPTORS;
-        int clients = (int) (CLIENT_PART * connections);
+        // Clients with reqs hold a third at most, and each open req may need a backend: the rest leads there.
+        int clients = config.sockets() / 3 + config.sockets() / 32;
+        int overCap = Math.min(64, config.sockets() / 8);
+        int toBackends = config.sockets() - SPARE_DESCRIPTORS - clients - overCap;
         Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, settings.maxAttempts);
         Backends backends = new Backends(loop, deadlines, clock::now, metrics, engine, config.connectTimeout(),
-            settings.connectionIdle, connections - clients, settings.reports == Dispatch.ReportMode.ON_PROBE);
+            settings.connectionIdle, toBackends, settings.reports == Dispatch.ReportMode.ON_PROBE);
         Director director = new Director(loop, deadlines, clock, metrics, engine, backends, config);
-        List<String> classes = settings.classes.stream().map(Dispatch.JobClass::name).toList();
-        List<Long> patience = settings.classes.stream().map(Dispatch.JobClass::deadline).toList();
-        front = new Front(clock::now, deadlines, metrics, engine, classes, patience, director::isListed, clients);
+        front = new Front(clock::now, deadlines, metrics, engine, settings, director::isListed, clients, overCap,
+            MAX_HELD);
         engine.join(new Dispatcher(settings, config.seed(), engine), backends, director::watch);
         director.start();
         return front.listen(loop, config.listen());
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -2,6 +2,7 @@
 
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
+import badgermux.decide.Dispatch;
 import badgermux.http.Relay;
 import badgermux.metrics.Metrics;
 import badgermux.metrics.Metrics.Count;
@@ -14,20 +15,26 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** Where clients connect: takes connections in, keeps their number bounded, and winds them up at the end. */
 public final class Front {
     /** After SIGTERM the front layer goes on sending new connections for a while; they are served until then. */
     static final long CHANGEOVER = 700_000;
     private static final long QUIET_CHECK = 50_000;
-    /** Connections over the cap that are still accepted, to be told so and not left to wait. */
-    private static final int OVER_CAP = 64;
-    /** What all bodies that have come, whole or in part, may hold until their reqs are answered. */
-    private static final long MAX_HELD = 12 << 20;
+    /** A client sends as soon as it is connected. One that has not by then may have to make room for others. */
+    static final long SPARED = 300_000;
+    /** How soon those who wait to be accepted are looked after again, while there is no room. */
+    private static final long ACCEPT_AGAIN = 20_000;
+    /** When a req that is refused here, for want of room, should come again. */
+    private static final long COME_BACK = 500_000;
 
     private final LongSupplier clock;
     private final Deadlines deadlines;
@@ -35,33 +42,51 @@
     private final Engine<Relay> engine;
     private final List<String> classes;
     private final List<Long> patience;
+    private final Set<Integer> keyed;
     private final BooleanSupplier ready;
     private final int cap;
+    private final int overCap;
+    private final long maxHeld;
+    private final long comeBack;
     private final LinkedHashSet<FrontConnection> connections = new LinkedHashSet<>();
+    /** Those of which no whole request has come yet, the oldest first. */
+    private final LinkedHashSet<FrontConnection> fresh = new LinkedHashSet<>();
+    /** Those between two requests that never brought a req, or that were rejected and are about to end. */
+    private final LinkedHashSet<FrontConnection> strangers = new LinkedHashSet<>();
     /** Those between two reqs, the one that has been so longest first. */
     private final LinkedHashSet<FrontConnection> resting = new LinkedHashSet<>();
+    /** The ids of all reqs that wait for their answer. */
+    private final Set<String> openIds = new HashSet<>();
     private Channel listener;
+    private Deadlines.Deadline acceptAgain;
     private long held;
     private boolean draining;
 
     /**
      * Makes a front that does not listen yet.
      *
-     * @param classes  the names of the classes, in the module's order
-     * @param patience how long the client of a class waits where it does not say, in microseconds
+     * @param settings what the module is told: the classes, and how long clients may be told to stay away
      * @param ready    whether reqs can be served
      * @param cap      how many client connections are served at once
+     * @param overCap  how many more are accepted, to be told so and not left to wait
+     * @param maxHeld  what all bodies that have come, whole or in part, may hold until their reqs are answered
      */
     public Front(LongSupplier clock, Deadlines deadlines, Metrics metrics, Engine<Relay> engine,
-            List<String> classes, List<Long> patience, BooleanSupplier ready, int cap) {
+            Dispatch.Settings settings, BooleanSupplier ready, int cap, int overCap,
+            long maxHeld) {
         this.clock = clock;
         this.deadlines = deadlines;
         this.metrics = metrics;
         this.engine = engine;
-        this.classes = List.copyOf(classes);
-        this.patience = List.copyOf(patience);
+        classes = settings.classes.stream().map(Dispatch.JobClass::name).toList();
+        patience = settings.classes.stream().map(Dispatch.JobClass::deadline).toList();
+        keyed = IntStream.range(0, classes.size())
+            .filter(c -> settings.classes.get(c).effect() == Dispatch.Effect.BY_KEY).boxed().collect(Collectors.toSet());
+        comeBack = Math.min(COME_BACK, settings.longestComeBack);
         this.ready = ready;
         this.cap = cap;
+        this.overCap = overCap;
+        this.maxHeld = maxHeld;
         metrics.level("client_connections_open", connections::size);
     }
 
@@ -91,6 +116,8 @@
 
     private void whenQuiet(Runnable quiet) {
         closeResting();
+        // Guards against a first req that crosses its connection's close: only those that say nothing are closed.
+        List.copyOf(fresh).stream().filter(c -> now() - c.openedAt() >= SPARED).forEach(FrontConnection::close);
         if (connections.isEmpty() && engine.open() == 0) {
             listener.close();
             quiet.run();
@@ -101,51 +128,124 @@
 
     private void closeResting() {
         List.copyOf(resting).forEach(FrontConnection::close);
+        List.copyOf(strangers).forEach(FrontConnection::close);
     }
 
     // ---- For its connections
 
     void opened(FrontConnection connection) {
         metrics.add(Count.CLIENT_CONNECTIONS);
-        // Between reqs a connection may be closed: the client sends what crosses the close once more.
-        if (connections.size() >= cap && !resting.isEmpty()) {
-            metrics.add(Count.CLIENT_CONNECTIONS_EVICTED);
-            FrontConnection longest = resting.iterator().next();
-            closed(longest);    // at once: its end is told later, and until then it would be chosen again
-            longest.close();
+        if (connections.size() >= cap) {
+            makeRoom();
         }
         connections.add(connection);
-        if (connections.size() > cap + OVER_CAP) {
-            metrics.add(Count.CLIENT_CONNECTIONS_OVER_CAP);
-            connection.close();
+        fresh.add(connection);
+        if (connections.size() >= cap + overCap && acceptAgain == null) {
+            listener.config().setAutoRead(false);
+            acceptAgain = deadlines.after(ACCEPT_AGAIN, this::acceptAgain);
+        }
+    }
+
+    /**
+     * Closes the connection that will be missed least, if there is one: a stranger's, then one that has said nothing
+     * for a while, then a client's between two reqs, which sends what crosses the close once more.
+     */
+    private boolean makeRoom() {
+        FrontConnection victim = first(strangers);
+        if (victim == null) {
+            FrontConnection oldest = first(fresh);
+            victim = oldest != null && now() - oldest.openedAt() >= SPARED ? oldest : first(resting);
+        }
+        if (victim == null) {
+            return false;
+        }
+        metrics.add(Count.CLIENT_CONNECTIONS_EVICTED);
+        closed(victim);    // at once: its end is told later, and until then it would be chosen again
+        victim.close();
+        return true;
+    }
+
+    private static FrontConnection first(LinkedHashSet<FrontConnection> of) {
+        return of.isEmpty() ? null : of.iterator().next();
+    }
+
+    /** Guards against a flood that takes the descriptors of all others: while there is no room, none are accepted. */
+    private void acceptAgain() {
+        acceptAgain = null;
+        boolean room = true;
+        while (room && connections.size() > cap) {
+            room = makeRoom();
+        }
+        if (connections.size() < cap + overCap) {
+            listener.config().setAutoRead(true);
+        } else {
+            acceptAgain = deadlines.after(ACCEPT_AGAIN, this::acceptAgain);
         }
     }
 
     void rests(FrontConnection connection) {
-        resting.add(connection);
+        if (connections.contains(connection)) {
+            leavesSets(connection);
+            (connection.isKnown() ? resting : strangers).add(connection);
+        }
     }
 
     void works(FrontConnection connection) {
-        resting.remove(connection);
+        leavesSets(connection);
+    }
+
+    /** It was rejected and only waits for its end. */
+    void leaves(FrontConnection connection) {
+        leavesSets(connection);
+        strangers.add(connection);
     }
 
     void closed(FrontConnection connection) {
         connections.remove(connection);
+        leavesSets(connection);
+    }
+
+    private void leavesSets(FrontConnection connection) {
+        fresh.remove(connection);
+        strangers.remove(connection);
         resting.remove(connection);
     }
 
+    /** Whether a req of this id waits for its answer. */
+    boolean isOpen(String id) {
+        return openIds.contains(id);
+    }
+
+    void take(String id) {
+        openIds.add(id);
+    }
+
+    void answered(String id) {
+        openIds.remove(id);
+    }
+
     boolean isDraining() {
         return draining;
     }
 
-    /** Whether there are more connections than are served: a req on one of them is turned away. */
+    /** Whether as many reqs as connections are served wait for their answer: one more is turned away. */
     boolean isOverCap() {
-        return connections.size() > cap;
+        return openIds.size() >= cap;
+    }
+
+    /** What a client is told to wait that is turned away for want of room; 0 where it can't be told. */
+    long comeBack() {
+        return comeBack;
+    }
+
+    /** Whether the reqs of a class come with a key. */
+    boolean needsKey(int jobClass) {
+        return keyed.contains(jobClass);
     }
 
     /** Guards against bodies that fill the heap: counts so many bytes more as held, if there is room for them. */
     boolean hold(int bytes) {
-        if (bytes > 0 && held + bytes > MAX_HELD) {
+        if (bytes > 0 && held + bytes > maxHeld) {
             metrics.add(Count.BODIES_OVER_CAP);
             return false;
         }
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -10,11 +10,11 @@
 import badgermux.metrics.Metrics.Count;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -23,117 +23,196 @@
 
 /** A client's connection: one req at a time, each with its final answer. */
 final class FrontConnection extends ChannelInboundHandlerAdapter implements MessageReader.Sink, Asker {
-    /** A request that has begun to come must be whole within this time. */
-    private static final long WHOLE_WITHIN = 30_000_000;
+    /** The first request must have come whole within this time of the connection, a later one of its first byte. */
+    static final long WHOLE_WITHIN = 2_000_000;
+    /** After a rejection the client has so long, and may send so much more, before the connection is cut off. */
+    private static final long LINGER = 500_000;
+    private static final long MAX_DRAINED = 1 << 20;
     /** What the buffer of bytes not read yet holds before it has to grow. */
     private static final int FIRST_CAPACITY = 1024;
-    /** When so much waits behind a req that is not answered yet, no more is read until it is. */
+    /** When so much waits behind a whole request that waits itself, no more is read until its turn. */
     private static final int MAX_BEHIND = MessageReader.MAX_HEAD;
 
+    /** A request that is being read, or waits behind one that is not answered yet. */
+    private static final class Incoming {
+        private final long cameAt;
+        private Head head;
+        private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+        private int held;
+        private boolean noRoom;
+
+        Incoming(long cameAt) {
+            this.cameAt = cameAt;
+        }
+    }
+
     private final Front front;
-    private final Channel channel;
+    private final SocketChannel channel;
     private final MessageReader reader = new MessageReader(false, MessageReader.MAX_BODY, this);
     private final ByteBuf pending = Unpooled.buffer(FIRST_CAPACITY);
-    private ByteArrayOutputStream body;
-    private int held;
-    private boolean noRoom;
-    private Deadlines.Deadline wholeLimit;
-    private Head head;
+    private final long openedAt;
+    private Incoming incoming;
+    private Incoming waiting;
+    private Incoming current;
+    private Deadlines.Deadline limit;
+    private String openId;
     private long req;
     private long cameAt;
+    private long drained;
+    private boolean known;
     private boolean busy;
     private boolean reading;
     private boolean keepAlive = true;
+    private boolean ending;
     private boolean closed;
 
-    FrontConnection(Front front, Channel channel) {
+    FrontConnection(Front front, SocketChannel channel) {
         this.front = front;
         this.channel = channel;
+        openedAt = front.now();
+    }
+
+    /** When it was opened. */
+    long openedAt() {
+        return openedAt;
+    }
+
+    /** Whether a req was taken from it: a bad client's connections never get that far. */
+    boolean isKnown() {
+        return known;
     }
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
+        limit = front.deadlines().after(WHOLE_WITHIN, this::tooLate);
         front.opened(this);
-        if (!closed) {
-            front.rests(this);
-        }
     }
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf in = (ByteBuf) message;
+        if (ending) {
+            // Guards against a reset that eats the error on its way: what still comes is read, but for a bounded time.
+            drained += in.readableBytes();
+            in.release();
+            if (drained > MAX_DRAINED) {
+                close();
+            }
+            return;
+        }
         // Guards against a deadline that starts late: the client counts from before it sent, not from our parsing.
-        if (!busy && !pending.isReadable() && reader.betweenMessages()) {
+        if (!pending.isReadable() && incoming == null) {
             cameAt = front.now();
         }
         pending.discardReadBytes().writeBytes(in);
         in.release();
         process();
         // Guards against a heap full of what clients send ahead. Their leaving goes unnoticed meanwhile.
-        if (busy && pending.readableBytes() > MAX_BEHIND) {
+        if (waiting != null && pending.readableBytes() > MAX_BEHIND) {
             channel.config().setAutoRead(false);
         }
     }
 
-    /** Reads request after request; an answer given at once does not come back in here. */
+    /**
+     * Reads request after request; an answer given at once does not come back in here. One request is read ahead of its
+     * turn, so that what is no request is rejected now and not once the req before it has its answer.
+     */
     private void process() {
         if (reading) {
             return;
         }
         reading = true;
         try {
-            while (!closed && !busy && keepAlive && pending.isReadable()) {
-                front.works(this);
-                if (reader.read(pending)) {
-                    front.deadlines().cancel(wholeLimit);
-                    wholeLimit = null;
+            while (!closed && !ending && keepAlive && (waiting != null && !busy || pending.isReadable())) {
+                if (waiting != null && !busy) {
+                    current = waiting;
+                    waiting = null;
                     busy = true;
                     request();
+                } else if (waiting != null) {
+                    break;
+                } else {
+                    read();
                 }
             }
         } catch (BadMessage e) {
-            front.metrics().add(Count.BAD_MESSAGES);
-            keepAlive = false;
-            answer(e.status(), "Rejected", "", (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
+            reject(e.status(), e.getMessage());
         } finally {
             reading = false;
         }
         if (!pending.isReadable()) {
             pending.clear().capacity(FIRST_CAPACITY);
         }
-        if (!closed && !busy) {
-            if (!reader.betweenMessages() && wholeLimit == null) {
-                wholeLimit = front.deadlines().after(WHOLE_WITHIN, this::close);
-            } else if (reader.betweenMessages()) {
-                front.rests(this);
+        if (!closed && !ending) {
+            rest();
+        }
+    }
+
+    private void read() throws BadMessage {
+        if (incoming == null) {
+            incoming = new Incoming(cameAt);
+        }
+        if (reader.read(pending)) {
+            waiting = incoming;
+            incoming = null;
+            cameAt = front.now();
+        }
+    }
+
+    /** What the connection waits for from here, and for how long. */
+    private void rest() {
+        boolean partial = incoming != null && !reader.betweenMessages();
+        if (!partial) {
+            incoming = null;
+        }
+        if (partial || !busy && !known) {
+            if (limit == null) {
+                limit = front.deadlines().after(WHOLE_WITHIN, this::tooLate);
             }
+        } else {
+            front.deadlines().cancel(limit);
+            limit = null;
+        }
+        if (busy) {
+            front.works(this);
+        } else if (!partial) {
+            front.rests(this);
+        }
+    }
+
+    /** Guards against connections held by those who say nothing, or half of something. */
+    private void tooLate() {
+        limit = null;
+        if (incoming == null) {
+            front.metrics().add(Count.CLIENT_CONNECTIONS_SILENT);
+            close();
+        } else {
+            reject(408, "the request did not come whole in time");
         }
     }
 
     @Override public void head(Head came) {
-        head = came;
-        body = new ByteArrayOutputStream();
-        noRoom = false;
-        if (came.has("Expect", "100-continue")) {
+        incoming.head = came;
+        if (!busy && came.has("Expect", "100-continue")) {
             channel.writeAndFlush(Bytes.message("HTTP/1.1 100 Continue\r\n", new byte[0]));
         }
     }
 
     /** Where bodies have no room, the rest of this one is read all the same: an answer before its end may be missed. */
     @Override public void body(byte[] bytes) {
-        noRoom = noRoom || !front.hold(bytes.length);
-        if (noRoom) {
-            release();
-            body.reset();
+        incoming.noRoom = incoming.noRoom || !front.hold(bytes.length);
+        if (incoming.noRoom) {
+            release(incoming);
+            incoming.body.reset();
         } else {
-            held += bytes.length;
-            body.writeBytes(bytes);
+            incoming.held += bytes.length;
+            incoming.body.writeBytes(bytes);
         }
     }
 
     private void request() throws BadMessage {
-        String[] line = head.requestLine();
-        keepAlive = head.keepsAlive();
+        String[] line = current.head.requestLine();
+        keepAlive = current.head.keepsAlive();
         switch (line[0]) {
-            case "POST" -> req(ReqHead.of(head, line[0], line[1]));
+            case "POST" -> req(ReqHead.of(current.head, line[0], line[1]));
             case "GET" -> about(line[1]);
             default -> throw new BadMessage(405, "every req comes by POST");
         }
@@ -144,21 +223,35 @@
         if (jobClass < 0) {
             throw new BadMessage(400, "unknown class");
         }
+        if (!fields.keyed() && front.needsKey(jobClass)) {
+            throw new BadMessage(400, "Idempotency-Key is missing");
+        }
+        // Guards against a req that takes another client's place at the backends: they know a req by its id.
+        if (front.isOpen(fields.id())) {
+            front.metrics().add(Count.IDS_IN_USE);
+            throw new BadMessage(409, "X-Request-ID is in use");
+        }
+        known = true;
         if (front.isOverCap()) {
             front.metrics().add(Count.CLIENT_CONNECTIONS_OVER_CAP);
             keepAlive = false;
-            synthetic(0);
+            synthetic(front.comeBack());
             return;
         }
-        if (noRoom) {
-            synthetic(0);
+        if (current.noRoom) {
+            synthetic(front.comeBack());
             return;
         }
-        Relay relay = new Relay(fields.id(), fields.start(), fields.headers(), body.toByteArray());
-        body = null;
-        long patience = fields.timeout() > 0 ? fields.timeout() : front.patience(jobClass);
+        Relay relay = new Relay(fields.id(), fields.start(), fields.headers(), current.body.toByteArray());
+        current.body = null;
+        // Guards against a patience beyond that of its class: the module would take all others for late.
+        long patience = Math.min(fields.timeout() > 0 ? fields.timeout() : Long.MAX_VALUE, front.patience(jobClass));
+        openId = fields.id();
+        front.take(openId);
+        front.works(this);
         req = 0;
-        req = front.engine().take(this, relay, jobClass, fields.slots(), cameAt + patience);
+        long taken = front.engine().take(this, relay, jobClass, fields.slots(), current.cameAt + patience);
+        req = busy ? taken : 0;     // it may have its answer by now
     }
 
     /** What operators ask: whether it is ready, and the counters. */
@@ -188,8 +281,7 @@
     }
 
     private void answer(int status, String reason, String headers, byte[] content) {
-        busy = false;
-        release();
+        over();
         keepAlive &= !front.isDraining();
         if (closed) {
             return;
@@ -199,17 +291,62 @@
         // Guards against a client left waiting on a connection whose answer could not be written.
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         if (keepAlive) {
-            cameAt = front.now();   // of what may have come behind it
             channel.config().setAutoRead(true);
             process();
+        } else if (pending.isReadable() || waiting != null || incoming != null) {
+            linger(written);
         } else {
             written.addListener(ChannelFutureListener.CLOSE);
         }
     }
 
-    private void release() {
-        front.hold(-held);
-        held = 0;
+    /** Ends the connection with an error. What it says of a req that is still open, too: nothing more comes of it. */
+    private void reject(int status, String why) {
+        front.metrics().add(Count.BAD_MESSAGES);
+        long open = busy ? req : 0;
+        over();
+        keepAlive = false;
+        if (open != 0) {
+            front.engine().askerGone(open);
+        }
+        linger(channel.writeAndFlush(Bytes.response(status, "Rejected", "", (why + "\n")
+            .getBytes(StandardCharsets.UTF_8), false)));
+    }
+
+    /** The answer goes out, then our side is closed; the other side is heard out for a moment. */
+    private void linger(ChannelFuture written) {
+        ending = true;
+        forgetInput();
+        channel.config().setAutoRead(true);
+        written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        written.addListener(done -> channel.shutdownOutput());
+        front.deadlines().cancel(limit);
+        limit = front.deadlines().after(LINGER, this::close);
+        front.leaves(this);
+    }
+
+    private void over() {
+        busy = false;
+        release(current);
+        current = null;
+        front.answered(openId);
+        openId = null;
+        req = 0;
+    }
+
+    private void forgetInput() {
+        release(incoming);
+        release(waiting);
+        incoming = null;
+        waiting = null;
+        pending.clear().capacity(0);
+    }
+
+    private void release(Incoming of) {
+        if (of != null) {
+            front.hold(-of.held);
+            of.held = 0;
+        }
     }
 
     /** Closes from this side. */
@@ -221,10 +358,12 @@
     @Override public void channelInactive(ChannelHandlerContext ctx) {
         closed = true;
         front.closed(this);
-        front.deadlines().cancel(wholeLimit);
-        release();
-        if (busy && req != 0) {
-            front.engine().askerGone(req);
+        front.deadlines().cancel(limit);
+        long open = busy ? req : 0;
+        over();
+        forgetInput();
+        if (open != 0) {
+            front.engine().askerGone(open);
         }
     }
 
--- a/src/main/java/badgermux/front/ReqHead.java
+++ b/src/main/java/badgermux/front/ReqHead.java
@@ -2,28 +2,48 @@
 
 import badgermux.http.BadMessage;
 import badgermux.http.Head;
-import java.util.Locale;
+import java.util.List;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /** The fields of a client's request that decisions need, and the lines that go on to a backend. */
-record ReqHead(String id, String className, double slots, long timeout, String start, String headers) {
+record ReqHead(String id, String className, boolean keyed, double slots, long timeout, String start,
+        String headers) {
     /** Lines that concern one connection only, or that are written anew. */
     private static final Set<String> NOT_PASSED_ON = Set.of("host", "connection", "keep-alive", "proxy-connection",
         "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-timeout");
+    /** Headers that decisions or backends rest on: with two of them, two readers may see two requests. */
+    private static final List<String> AT_MOST_ONCE = List.of("Host", "X-Request-ID", "X-Priority-Class", "X-Route-Key",
+        "X-Timeout", "X-Attrs", "X-Retried", "Idempotency-Key");
+    /** As clients form them. A backend answers 400 to any other, or to one that it knows from another request. */
+    private static final Pattern ID = Pattern.compile("[0-9a-f]{16}");
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,15})?");
     private static final long LONGEST_TIMEOUT = 3_600_000_000L;
 
     /** {@code timeout} is 0 where the client names none. */
     static ReqHead of(Head head, String method, String target) throws BadMessage {
+        for (String name : AT_MOST_ONCE) {
+            if (head.all(name).size() > 1) {
+                throw new BadMessage(400, name + " stands there twice");
+            }
+        }
         String id = head.get("X-Request-ID");
         // A backend answers 404 to what has no id, so it must not get there.
-        if (id == null || id.isEmpty()) {
-            throw new BadMessage(400, "X-Request-ID is missing");
+        if (id == null || !ID.matcher(id).matches()) {
+            throw new BadMessage(400, "X-Request-ID is missing or malformed");
+        }
+        if (!target.startsWith("/") || target.indexOf('#') >= 0) {
+            throw new BadMessage(400, "the target is no path");
         }
+        String path = target.split("[/?]", 3)[1];
         String named = head.get("X-Priority-Class");
-        String path = target.split("[/?]", 3).length > 1 ? target.split("[/?]", 3)[1] : "";
+        if (named != null && !named.equals(path)) {
+            throw new BadMessage(400, "X-Priority-Class is not the path's");
+        }
+        String key = head.get("Idempotency-Key");
         StringBuilder headers = new StringBuilder();
         head.copyLines(headers, NOT_PASSED_ON);
-        return new ReqHead(id, named == null ? path : named, slots(head.get("X-Attrs")),
+        return new ReqHead(id, path, key != null && !key.isEmpty(), slots(head.get("X-Attrs")),
             timeout(head.get("X-Timeout")), method + ' ' + target + " HTTP/1.1", headers.toString());
     }
 
@@ -45,26 +65,19 @@
         if (text == null) {
             return 0;
         }
-        String unit = text.isEmpty() ? "" : text.substring(text.length() - 1).toLowerCase(Locale.ROOT);
-        if (!unit.equals("m") && !unit.equals("u")) {
+        boolean millis = text.endsWith("m");
+        if (!millis && !text.endsWith("u")) {
             throw new BadMessage(400, "X-Timeout has no unit m or u");
         }
-        double value = number(text.substring(0, text.length() - 1), "X-Timeout") * (unit.equals("m") ? 1000 : 1);
-        if (value < 0) {
-            throw new BadMessage(400, "X-Timeout is negative");
-        }
+        double value = number(text.substring(0, text.length() - 1), "X-Timeout") * (millis ? 1000 : 1);
         return Math.max(1, Math.min(LONGEST_TIMEOUT, Math.round(value)));
     }
 
+    /** Guards against what Java takes for a number and nobody else does: signs, blanks, hexadecimal, suffixes. */
     private static double number(String text, String header) throws BadMessage {
-        try {
-            double value = Double.parseDouble(text);
-            if (Double.isFinite(value)) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // told below, as for a number that is not finite
+        if (!NUMBER.matcher(text).matches()) {
+            throw new BadMessage(400, header + " is no number");
         }
-        throw new BadMessage(400, header + " is no number");
+        return Double.parseDouble(text);
     }
 }
--- a/src/main/java/badgermux/http/Head.java
+++ b/src/main/java/badgermux/http/Head.java
@@ -20,12 +20,6 @@
     static Head parse(String text) throws BadMessage {
         String[] parts = text.split("\r\n", -1);
         Head head = new Head(parts[0]);
-        for (String part : parts) {
-            // Guards against a line that another reader would split in two.
-            if (part.indexOf('\r') >= 0 || part.indexOf('\n') >= 0 || part.indexOf('\0') >= 0) {
-                throw new BadMessage(400, "control character in the head");
-            }
-        }
         for (int i = 1; i < parts.length; i++) {
             int colon = parts[i].indexOf(':');
             if (colon <= 0 || !isToken(parts[i].substring(0, colon))) {
@@ -55,7 +49,7 @@
     }
 
     /** All values of a header, in their order. */
-    List<String> all(String name) {
+    public List<String> all(String name) {
         return lines.stream().filter(line -> line.name.equalsIgnoreCase(name)).map(Line::value).toList();
     }
 
@@ -83,7 +77,7 @@
     /** The words of a request line: method, target, version. */
     public String[] requestLine() throws BadMessage {
         String[] words = first.split(" ", -1);
-        boolean version = words.length == 3 && (words[2].equals("HTTP/1.1") || words[2].equals("HTTP/1.0"));
+        boolean version = words.length == 3 && words[2].equals("HTTP/1.1");
         boolean visible = words.length > 1 && words[1].chars().allMatch(c -> c > ' ' && c != 127);
         if (!version || !visible || !isToken(words[0]) || words[0].isEmpty() || words[1].isEmpty()) {
             throw new BadMessage(400, "malformed request line");
--- a/src/main/java/badgermux/http/MessageReader.java
+++ b/src/main/java/badgermux/http/MessageReader.java
@@ -21,6 +21,7 @@
     /** The longest head, and the longest line that tells a chunk's size. */
     public static final int MAX_HEAD = 16 * 1024;
     private static final int MAX_CHUNK_LINE = 256;
+    private static final int MAX_METHOD = 16;
     /** The longest body of the platform's protocol. */
     public static final int MAX_BODY = 64 * 1024;
 
@@ -32,6 +33,8 @@
     private State state = State.HEAD;
     private byte[] line = new byte[512];
     private int lineLength;
+    private int blanks;
+    private boolean methodKnown;
     private int trailerLength;
     private long left;
     private long bodyLength;
@@ -80,13 +83,20 @@
         while (in.isReadable()) {
             byte b = in.readByte();
             // Some clients end a body with a line end that is not counted in it.
-            if (lineLength == 0 && (b == '\r' || b == '\n')) {
+            if (lineLength == 0 && (b == '\r' || b == '\n') && blanks < 2) {
+                blanks++;
                 continue;
             }
+            plain(b);
+            if (!responses && !methodKnown) {
+                method(b);
+            }
             append(b, MAX_HEAD, 431);
             if (b == '\n' && endsWith("\r\n\r\n")) {
                 String text = new String(line, 0, lineLength - 4, StandardCharsets.ISO_8859_1);
                 lineLength = 0;
+                blanks = 0;
+                methodKnown = false;
                 return startBody(Head.parse(text));
             }
         }
@@ -125,7 +135,7 @@
     private static long toLength(List<String> lengths) throws BadMessage {
         String first = lengths.get(0);
         if (first.isEmpty() || first.length() > 18 || !first.chars().allMatch(c -> c >= '0' && c <= '9')
-            || lengths.stream().anyMatch(other -> !other.equals(first))) {
+            || lengths.size() > 1) {
             throw new BadMessage(400, "bad Content-Length");
         }
         return Long.parseLong(first);
@@ -151,7 +161,7 @@
     private boolean chunkSize() throws BadMessage {
         String text = lineText();
         int extension = text.indexOf(';');
-        String size = (extension < 0 ? text : text.substring(0, extension)).strip();
+        String size = extension < 0 ? text : text.substring(0, extension);
         if (size.isEmpty() || size.length() > 8
             || !size.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 128)) {
             throw new BadMessage(400, "bad chunk size");
@@ -190,11 +200,9 @@
     private boolean takeLine(ByteBuf in, int max) throws BadMessage {
         while (in.isReadable()) {
             byte b = in.readByte();
+            plain(b);
             append(b, max, 400);
             if (b == '\n') {
-                if (!endsWith("\r\n")) {
-                    throw new BadMessage(400, "line without a carriage return");
-                }
                 return true;
             }
         }
@@ -207,6 +215,22 @@
         return text;
     }
 
+    /** Guards against rubbish that is waited for as if it were the beginning of a request. */
+    private void method(byte b) throws BadMessage {
+        methodKnown = b == ' ' && lineLength > 0;
+        if (!methodKnown && (b < 'A' || b > 'Z' || lineLength >= MAX_METHOD)) {
+            throw new BadMessage(400, "malformed request line");
+        }
+    }
+
+    /** Guards against bytes that another reader would take for a line's end, or for nothing at all. */
+    private void plain(byte b) throws BadMessage {
+        boolean afterReturn = lineLength > 0 && line[lineLength - 1] == '\r';
+        if (afterReturn != (b == '\n') || b >= 0 && b < ' ' && b != '\t' && b != '\r' && b != '\n' || b == 127) {
+            throw new BadMessage(400, "control character, or half a line end");
+        }
+    }
+
     private void append(byte b, int max, int status) throws BadMessage {
         if (lineLength == max) {
             throw new BadMessage(status, "line or head too long");
