On SIGHUP reread the configuration and watch the list at its new address

Ruled out: the watch itself, which goes on at the new address from the version in hand on; the old call's end, which is dropped and told to nobody.

--- a/src/main/java/badgermux/Main.java
+++ b/src/main/java/badgermux/Main.java
@@ -1,6 +1,5 @@
 package badgermux;
 
-import badgermux.config.Config;
 import badgermux.config.ConfigException;
 
 /** The two commands: {@code serve}, one real dispatcher, and {@code drill}, the decisions on the simulator's wire. */
@@ -18,7 +17,7 @@
 
     private static void serve() throws InterruptedException {
         try {
-            Server.run(Config.read(System.getenv()));
+            Server.run(System.getenv());
         } catch (ConfigException e) {
             exit(e.getMessage());
         }
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -12,16 +12,19 @@
 import badgermux.front.Front;
 import badgermux.http.Relay;
 import badgermux.metrics.Metrics;
+import badgermux.metrics.Metrics.Count;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
-/** Joins the parts of one real dispatcher on its event loop, and ends it on SIGTERM. */
+/** Joins the parts of one real dispatcher on its event loop; rereads its configuration on SIGHUP, ends on SIGTERM. */
 final class Server {
     /** Descriptors that are no connections of the front or to backends: files, the selector, the director, some over. */
     private static final int SPARE_DESCRIPTORS = 48;
@@ -32,18 +35,26 @@
     private final Clock clock = new Clock();
     private final Metrics metrics = new Metrics();
     private final Deadlines deadlines = new Deadlines(clock::now, this::alarm, metrics);
+    private final CountDownLatch started = new CountDownLatch(1);
     private final CountDownLatch quiet = new CountDownLatch(1);
+    private final Map<String, String> environment;
     private Future<?> alarm;
     private Front front;
+    private Director director;
 
-    private Server() { }
+    private Server(Map<String, String> environment) {
+        this.environment = environment;
+    }
 
     /** Serves until SIGTERM has been dealt with. */
-    static void run(Config config) throws ConfigException, InterruptedException {
-        new Server().serve(config);
+    static void run(Map<String, String> environment) throws ConfigException, InterruptedException {
+        new Server(environment).serve();
     }
 
-    private void serve(Config config) throws ConfigException, InterruptedException {
+    private void serve() throws ConfigException, InterruptedException {
+        // First of all: SIGHUP ends a process that says nothing of it.
+        Hangup.handle(this::reload);
+        Config config = Config.read(environment);
         try {
             ChannelFuture bound = loop.submit(() -> start(config)).get().await();
             if (!bound.isSuccess()) {
@@ -54,6 +65,7 @@
         } catch (ExecutionException e) {
             throw new ConfigException("settings: " + e.getCause().getMessage());
         }
+        started.countDown();
         quiet.await();
     }
 
@@ -66,7 +78,7 @@
         Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, settings.maxAttempts);
         Backends backends = new Backends(loop, deadlines, clock::now, metrics, engine, config.connectTimeout(),
             settings.connectionIdle, toBackends, settings.reports == Dispatch.ReportMode.ON_PROBE);
-        Director director = new Director(loop, deadlines, clock, metrics, engine, backends, config);
+        director = new Director(loop, deadlines, clock, metrics, engine, backends, config);
         front = new Front(clock::now, deadlines, metrics, engine, settings, director::isListed, clients, overCap,
             MAX_HELD);
         engine.join(new Dispatcher(settings, config.seed(), engine), backends, director::watch);
@@ -74,6 +86,27 @@
         return front.listen(loop, config.listen());
     }
 
+    /**
+     * Runs on a thread of its own for each signal, one after another: the event loop reads no files. A file that can't
+     * be used changes nothing.
+     */
+    private synchronized void reload() {
+        try {
+            started.await();
+            InetSocketAddress at = Config.reread(environment).director();
+            loop.execute(() -> {
+                metrics.add(Count.RELOADS);
+                Logger.info("configuration reread: the director is at {}:{}", at.getHostString(), at.getPort());
+                director.moveTo(at);
+            });
+        } catch (ConfigException | RuntimeException e) {
+            loop.execute(() -> metrics.add(Count.RELOADS_REJECTED));
+            Logger.warn("the new configuration is not used: {}", e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void alarm(long at) {
         if (alarm != null) {
             alarm.cancel(false);
--- a/src/main/java/badgermux/config/Config.java
+++ b/src/main/java/badgermux/config/Config.java
@@ -37,8 +37,17 @@
     private static final int DEFAULT_SOCKETS = 1024, FEWEST_SOCKETS = 128;
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 250;
 
-    /** Reads the environment, and the file that it names. */
+    /** Reads the environment, and the file that it names; the environment goes first. */
     public static Config read(Map<String, String> environment) throws ConfigException {
+        return read(environment, false);
+    }
+
+    /** Reads all again once the file has been replaced: where it names a director, that one goes first. */
+    public static Config reread(Map<String, String> environment) throws ConfigException {
+        return read(environment, true);
+    }
+
+    private static Config read(Map<String, String> environment, boolean again) throws ConfigException {
         String path = environment.get("GW_CONFIG");
         if (path == null || path.isBlank()) {
             throw new ConfigException("GW_CONFIG is not set");
@@ -55,7 +64,11 @@
         } catch (JsonParseException | IllegalStateException e) {
             throw new ConfigException("GW_CONFIG: " + path + " is no JSON object");
         }
-        return new Reader(environment, root).read();
+        Map<String, String> variables = new TreeMap<>(environment);
+        if (again && root.has("discovery")) {
+            variables.remove("GW_DISCOVERY");
+        }
+        return new Reader(variables, root).read();
     }
 
     /** The number of a zone by its name; -1 where the settings know none of that name. */
--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -43,6 +43,7 @@
     private final Engine<?> engine;
     private final Backends backends;
     private final Config config;
+    private InetSocketAddress address;
     private final Map<Long, String> names = new HashMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
     private ClientConnection connection;
@@ -59,6 +60,7 @@
         this.engine = engine;
         this.backends = backends;
         this.config = config;
+        address = config.director();
     }
 
     /** Tells the module of the list as it was last held. */
@@ -82,7 +84,7 @@
         metrics.add(Count.DIRECTOR_CALLS);
         call = new Call();
         if (connection == null || !connection.isReusable()) {
-            connection = new ClientConnection(loop, deadlines, config.director(), GRACE, MAX_LIST, () -> { });
+            connection = new ClientConnection(loop, deadlines, address, GRACE, MAX_LIST, () -> { });
         }
         ClientConnection used = connection;
         // Guards against a director that takes the call and falls silent.
@@ -90,6 +92,25 @@
         used.start(call);
     }
 
+    /**
+     * Goes on with the director at another address: watches there at once, from the version in hand on. The call under
+     * way is dropped, which is no failure: the module hears nothing of it.
+     */
+    public void moveTo(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            if (call != null) {
+                deadlines.cancel(call.limit);
+                call = null;
+            }
+            if (connection != null) {
+                connection.abort();
+                connection = null;
+            }
+        }
+        watch();
+    }
+
     private void failed() {
         metrics.add(Count.DIRECTOR_FAILURES);
         engine.workers(ListUpdate.FAILED, List.of());
@@ -189,7 +210,7 @@
 
         @Override public ByteBuf request() {
             return Bytes.get("/v1/servers?since=" + revision + "&timeout_ms=" + WAIT / 1000,
-                config.director().getHostString() + ':' + config.director().getPort());
+                address.getHostString() + ':' + address.getPort());
         }
 
         @Override public void head(Head head) throws BadMessage {
--- a/src/test/java/badgermux/it/Program.java
+++ b/src/test/java/badgermux/it/Program.java
@@ -27,6 +27,7 @@
     final Peer director = new Peer();
     final Process process;
     private final BufferedReader log;
+    private final Path config;
     private int port;
 
     /** Starts it in a folder; {@code members} are the backends that it knows from before. */
@@ -56,10 +57,21 @@
         builder.environment().put("GW_LISTEN", "127.0.0.1:0");
         builder.environment().put("GW_DISCOVERY", director.address());
         builder.environment().put("GW_CONFIG", config.toString());
+        this.config = config;
         process = builder.start();
         log = process.errorReader(StandardCharsets.UTF_8);
     }
 
+    /** Replaces text of the configuration and has it reread. */
+    void reload(String old, String by) throws IOException, InterruptedException {
+        Files.writeString(config, Files.readString(config).replace(old, by));
+        hangUp();
+    }
+
+    void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor();
+    }
+
     /** A backend as the director's list shows it. */
     static String member(String id, Peer at, String zone, String phase) {
         return "{\"id\":\"" + id + "\",\"host_port\":\"" + at.address() + "\",\"locality\":\"" + zone
