A 4xx of a backend blames the request; no connection to spare blames nobody

Each 400 was told as ERROR and set a good worker aside.

Ruled out: a check of our own, as dispatchers don't talk to each other.

At fault: FetchExchange.head (any status but 200 is ERROR), and Backends.fetch, which told CONNECT_FAILED where we had no connection to spare, so that a worker was set aside for our limit. Now UNFIT: a second worker is asked; if it agrees, the request fails and neither is blamed, if it serves, the first is. No connection to spare is MOOT.

--- a/src/main/java/badgermux/backend/Backends.java
+++ b/src/main/java/badgermux/backend/Backends.java
@@ -92,7 +92,8 @@
         Backend backend = backends.get(id);
         Pooled pooled = backend == null ? null : connect(backend);
         if (pooled == null) {
-            engine.ended(fetch, Dispatch.Outcome.CONNECT_FAILED, null, null);
+            // Guards against a backend set aside because we have no connection to spare.
+            engine.ended(fetch, backend == null ? Dispatch.Outcome.CONNECT_FAILED : Dispatch.Outcome.MOOT, null, null);
             return;
         }
         FetchExchange exchange = new FetchExchange(payload, backend.host(), limit, fetch, this, pooled);
--- a/src/main/java/badgermux/backend/FetchExchange.java
+++ b/src/main/java/badgermux/backend/FetchExchange.java
@@ -53,7 +53,7 @@
         streams = status == 200;
         if (!streams) {
             boolean unseen = (status == 503 || status == 504) && "1".equals(head.get("X-Not-Processed"));
-            outcome = unseen ? Outcome.REJECTED : Outcome.ERROR;
+            outcome = unseen ? Outcome.REJECTED : status / 100 == 4 ? Outcome.UNFIT : Outcome.ERROR;
         }
     }
 
--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -25,9 +25,9 @@
     /** What the list says of a worker. */
     enum WorkerState { GONE, READY, DRAINING }
 
-    /** How an attempt ended. */
+    /** How an attempt ended. UNFIT: the worker can't use the request, which may be the fault of either. */
     enum Outcome {
-        SERVED, ERROR, REJECTED, TIMED_OUT, CONNECT_FAILED, RESET, CANCELLED, MOOT;
+        SERVED, ERROR, REJECTED, TIMED_OUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, UNFIT;
 
         /** Whether this outcome proves that the attempt did not run (but see {@link Settings#rejectedMayHaveRun}). */
         public boolean neverRan() {
@@ -41,7 +41,7 @@
 
         /** Whether the worker said so itself: the connection stands, and is idle now. */
         boolean answered() {
-            return this == SERVED || this == ERROR || this == REJECTED;
+            return this == SERVED || this == ERROR || this == REJECTED || this == UNFIT;
         }
     }
 
--- a/src/main/java/badgermux/sim/Adapter.java
+++ b/src/main/java/badgermux/sim/Adapter.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +18,7 @@
         Dispatch.ListUpdate.CACHED, Dispatch.ListUpdate.FAILED};
     private static final Dispatch.WorkerState[] CONDITIONS = {Dispatch.WorkerState.GONE, Dispatch.WorkerState.READY,
         Dispatch.WorkerState.DRAINING};
-    private static final Dispatch.Outcome[] VERDICTS = Dispatch.Outcome.values();
+    private static final Dispatch.Outcome[] VERDICTS = Arrays.copyOf(Dispatch.Outcome.values(), 8);
 
     private final Frames frames;
     private final Map<Integer, Instance> instances = new HashMap<>();
--- a/src/test/java/badgermux/decide/DecisionsTest.java
+++ b/src/test/java/badgermux/decide/DecisionsTest.java
@@ -779,4 +779,28 @@
         assertEquals(Set.of(3 - first), one);
         assertTrue(two.contains(first), "the other tenant goes on using it");
     }
+
+    /** Bad clients sent what workers answer 400 to, three times each, and most workers were set aside for it. */
+    @Test void twoWorkersThatCantUseARequestAreBelievedAndKept() {
+        Rig rig = new Rig().start(Rig.fleet(6));
+        long job = rig.request(Rig.RENDER);
+        rig.outcome(job, 0, Outcome.UNFIT);
+        assertEquals(2, rig.sendsOf(job));
+        rig.outcome(job, 1, Outcome.UNFIT);
+        assertEquals(2, rig.sendsOf(job));
+        assertEquals(1, rig.did.all.stream().filter(("fail " + job)::equals).count(), rig.did.all::toString);
+        assertEquals(List.of(), rig.did.logged);
+    }
+
+    @Test void oneThatAloneCantUseARequestIsSetAside() {
+        Rig rig = new Rig().start(Rig.fleet(6));
+        long job = rig.request(Rig.RENDER);
+        rig.outcome(job, 0, Outcome.UNFIT);
+        rig.outcome(job, 1, Outcome.SERVED);
+        assertEquals(1, rig.did.logged.size(), rig.did.logged::toString);
+        assertTrue(rig.did.logged.get(0).endsWith("set aside: ERROR"), rig.did.logged::toString);
+        long once = rig.request(Rig.PAY);
+        rig.outcome(once, 0, Outcome.UNFIT);
+        assertEquals(1, rig.sendsOf(once));
+    }
 }
--- a/src/test/java/badgermux/it/ServeIT.java
+++ b/src/test/java/badgermux/it/ServeIT.java
@@ -273,6 +273,35 @@
         }
     }
 
+    @Test void aReqThatBackendsCantUseFailsAndTheyStayInUse() throws IOException, InterruptedException {
+        client.send(Client.req("/preview", "5000m", "", ""));
+        backend.take().reply("400 Bad", "");
+        backend.take().reply("400 Bad", "");
+        assertEquals(500, client.read().status());
+        assertEquals(2, program.count("fetches_unfit"));
+        serveOne();
+        assertEquals(0, program.count("fetches_error"));
+    }
+
+    @Test void aConnectionThatWeCantSpareIsNoFaultOfTheBackend() throws IOException, InterruptedException {
+        int spared = 18;    // what 128 descriptors leave for backends
+        try (Program small = new Program(folder, member("s-1", backend, "east", "SERVING"), 128, Program.SETTINGS)) {
+            List<Client> clients = new ArrayList<>();
+            List<Peer.Call> calls = new ArrayList<>();
+            for (int i = 0; i < spared; i++) {
+                clients.add(small.client().send(Client.req("/preview", "5000m", "", "")));
+                calls.add(backend.take());
+            }
+            assertEquals(503, small.client().ask("/pay").status());
+            assertEquals(0, small.count("fetches_connect_failed"));
+            calls.get(0).done("r");
+            assertEquals(200, clients.get(0).read().status());
+            clients.get(0).send(Client.req("/preview", "5000m", "", ""));
+            backend.take().done("again");
+            assertEquals("again", clients.get(0).read().body());
+        }
+    }
+
     @Test void drawnBackendsAreProbedAndAProbeIsWaitedForOnlySoLong() throws IOException, InterruptedException {
         String probing = Program.SETTINGS.replace("\"silent\"", "\"pull\"")
             .replace("\"Cancel\"", "\"Probes\":true,\"Cancel\"");
