A job that waited out our restart may wait a quarter of its patience

Ruled out: the connection caps and ids in use (nothing was evicted or rejected), the backends (no fetch was made for them).

At fault: Dispatcher.request took a job's slack from the mean run of its class, which is 0 after a start, and then the mean of the short jobs that have ended.

--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -30,6 +30,8 @@
     private static final double COLD_MARGIN = 0.5;
     /** A job waits this part of the tightest aim for its drawn workers' reports. */
     private static final int PATIENCE = 4;
+    /** While it is not known how long jobs run, one may wait this part of its patience: see request. */
+    private static final double FRESH_SLACK = 4;
     /** Weight of a new figure in a moving average; mean runs until all jobs of a report have ended. */
     private static final double NEW = 0.05, REPORT_RUNS = 10;
     /** Bounds on CPU and log: held jobs tried at once; lines written. */
@@ -131,7 +133,11 @@
         r.deadline = now + job.left();
         // What the client has left tells how long it has waited, earlier tries included.
         longest[job.jobClass()] = Math.max(longest[job.jobClass()], job.left());
-        r.latest = (long) (r.deadline - longest[job.jobClass()] + r.type.slack(expectedRun(r)));
+        double slack = r.type.slack(expectedRun(r));
+        // Guards against all taken for late that waited out our restart: short jobs alone have ended since.
+        boolean waitedForUs = job.hint() == 0 && r.deadline - r.type.deadline() < bornAt;
+        if (waitedForUs) slack = Math.max(slack, r.type.deadline() / FRESH_SLACK);
+        r.latest = (long) (r.deadline - longest[job.jobClass()] + slack);
         boolean firstTry = job.left() >= longest[job.jobClass()] - s.tick;
         asked += firstTry ? job.slots() * expectedRun(r) : 0;
         r.overShare = overShare(job, firstTry);
--- a/src/test/java/badgermux/decide/DecisionsTest.java
+++ b/src/test/java/badgermux/decide/DecisionsTest.java
@@ -803,4 +803,17 @@
         rig.outcome(once, 0, Outcome.UNFIT);
         assertEquals(1, rig.sendsOf(once));
     }
+
+    /** Clients waited out a restart; the new process knew of short jobs only and took them all for late. */
+    @Test void soonAfterAStartAJobMayHaveWaited() {
+        Rig fresh = new Rig().start(Rig.fleet(6));
+        fresh.serve(Rig.RENDER, 10 * MS, null);
+        assertEquals(1, fresh.sendsOf(fresh.request(Rig.RENDER, 4 * SECOND)), fresh.did.all::toString);
+        fresh.advance(100 * MS);
+        assertEquals(List.of(), fresh.did.refused);
+        fresh.advance(3 * SECOND);
+        fresh.did.refused.clear();
+        long late = fresh.request(Rig.RENDER, 4 * SECOND);
+        assertEquals(List.of(late), fresh.did.refused);
+    }
 }
