After SIGTERM leave kept connections open for half a second

The protocol sends new connections for 0.2 to 0.4 s after SIGTERM, and clients use the ones they have while they are open.

Ruled out: refusals (no req was turned away in that time), the start (0.6 s), the listener (it stays open for the changeover).

At fault: Front.drain closed all resting connections at once. They now stay for 0.5 s; each answer still ends its connection. What is taken by then came within the 0.7 s in which nothing counts as lost.

--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -28,6 +28,8 @@
 public final class Front {
     /** After SIGTERM the front layer goes on sending new connections for a while; they are served until then. */
     static final long CHANGEOVER = 700_000;
+    /** So long clients may use the connections that they have, once more each: the next dispatcher may not be up yet. */
+    static final long KEPT_ON = 500_000;
     private static final long QUIET_CHECK = 50_000;
     /** A client sends as soon as it is connected. One that has not by then may have to make room for others. */
     static final long SPARED = 300_000;
@@ -110,7 +112,7 @@
             return;
         }
         draining = true;
-        closeResting();
+        deadlines.after(KEPT_ON, this::closeResting);
         deadlines.after(CHANGEOVER, () -> whenQuiet(quiet));
     }
 
--- a/src/test/java/badgermux/it/ServeIT.java
+++ b/src/test/java/badgermux/it/ServeIT.java
@@ -250,6 +250,22 @@
         assertFalse(program.process.isAlive());
     }
 
+    @Test void afterSigtermClientsMayUseTheConnectionsTheyHaveForAMoment() throws IOException, InterruptedException {
+        serveOne();
+        program.process.toHandle().destroy();
+        try (Client asker = program.client()) {
+            while (asker.get("/healthz").status() == 200) {
+                Thread.onSpinWait();
+            }
+        }
+        client.send(Client.req("/preview", "5000m", "", ""));
+        Peer.Call call = backend.take();
+        call.done("kept");
+        Client.Answer answer = client.read();
+        assertEquals("kept", answer.body());
+        assertEquals("close", answer.header("Connection"));
+    }
+
     @Test void overTheCapRestingConnectionsGoFirstAndReqsGetAnAnswer() throws IOException, InterruptedException {
         int cap = 46;   // what 128 descriptors leave for clients
         try (Program small = new Program(folder, member("s-1", backend, "east", "SERVING"), 128, Program.SETTINGS)) {
