Let the room for bodies follow the memory told; state what is open

Ruled out: a smaller heap by flags, which run can't take from the file.

At fault: Config had no memory_mb, and Server a fixed MAX_HELD. It is a sixteenth of the memory now: 12 MB of 192, as before, and 9 MB of 144.

--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -28,8 +28,8 @@
 final class Server {
     /** Descriptors that are no connections of the front or to backends: files, the selector, the director, some over. */
     private static final int SPARE_DESCRIPTORS = 48;
-    /** What bodies may hold until their reqs are answered. */
-    private static final long MAX_HELD = 12 << 20;
+    /** The part of all memory that bodies may hold until their reqs are answered: 12 MB of 192. */
+    private static final int HELD_PART = 16;
 
     private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Clock clock = new Clock();
@@ -80,7 +80,7 @@
             settings.connectionIdle, toBackends, settings.reports == Dispatch.ReportMode.ON_PROBE);
         director = new Director(loop, deadlines, clock, metrics, engine, backends, config);
         front = new Front(clock::now, deadlines, metrics, engine, settings, director::isListed, clients, overCap,
-            MAX_HELD);
+            ((long) config.memoryMb() << 20) / HELD_PART);
         engine.join(new Dispatcher(settings, config.seed(), engine), backends, director::watch);
         director.start();
         return front.listen(loop, config.listen());
--- a/src/main/java/badgermux/config/Config.java
+++ b/src/main/java/badgermux/config/Config.java
@@ -25,6 +25,7 @@
  * @param director        where the director answers
  * @param seed            for random numbers
  * @param sockets         how many descriptors the process may hold
+ * @param memoryMb        how much memory the process may take, in MB
  * @param known           the list as last held
  * @param settings        the module's settings
  * @param zones           the names of the zones, in the module's order
@@ -32,9 +33,10 @@
  * @param connectTimeout  how long a connection may take to come up, in microseconds
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress director, long seed, int sockets,
-        ListDecoder.Listing known, Dispatch.Settings settings, List<String> zones, List<String> kinds,
+        int memoryMb, ListDecoder.Listing known, Dispatch.Settings settings, List<String> zones, List<String> kinds,
         long connectTimeout) {
     private static final int DEFAULT_SOCKETS = 1024, FEWEST_SOCKETS = 128;
+    private static final int DEFAULT_MEMORY_MB = 192, LEAST_MEMORY_MB = 32;
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 250;
 
     /** Reads the environment, and the file that it names; the environment goes first. */
@@ -117,7 +119,7 @@
                 throw new ConfigException("settings.Ceilings.ConnectTimeoutMs must be above 0");
             }
             return new Config(text("GW_NAME", "name", "dispatcher"), endpoint("GW_LISTEN", "listen"),
-                endpoint("GW_DISCOVERY", "discovery"), seed(), sockets(), known(), settings,
+                endpoint("GW_DISCOVERY", "discovery"), seed(), sockets(), memoryMb(), known(), settings,
                 names(pairs, "FailureDomains"), names(pairs, "Kinds"), Math.round(connect * 1000));
         }
 
@@ -192,14 +194,22 @@
         }
 
         private int sockets() throws ConfigException {
+            return limit("sockets", DEFAULT_SOCKETS, FEWEST_SOCKETS);
+        }
+
+        private int memoryMb() throws ConfigException {
+            return limit("memory_mb", DEFAULT_MEMORY_MB, LEAST_MEMORY_MB);
+        }
+
+        /** A limit, which is never taken for more than its default. */
+        private int limit(String key, int otherwise, int least) throws ConfigException {
             JsonElement limits = root.get("limits");
-            JsonElement value =
-                limits != null && limits.isJsonObject() ? limits.getAsJsonObject().get("sockets") : null;
-            double sockets = number(value == null ? null : plain(value), "limits.sockets", DEFAULT_SOCKETS);
-            if (sockets < FEWEST_SOCKETS) {
-                throw new ConfigException("limits.sockets must be " + FEWEST_SOCKETS + " or more");
+            JsonElement value = limits != null && limits.isJsonObject() ? limits.getAsJsonObject().get(key) : null;
+            double told = number(value == null ? null : plain(value), "limits." + key, otherwise);
+            if (told < least) {
+                throw new ConfigException("limits." + key + " must be " + least + " or more");
             }
-            return (int) Math.min(sockets, DEFAULT_SOCKETS);
+            return (int) Math.min(told, otherwise);
         }
 
         private ListDecoder.Listing known() throws ConfigException {
