Contracts: OpenAPI and AsyncAPI descriptions judge requests before a slot is taken

Cause: a malformed publish took a slot and failed after seconds of rendering; nothing in the program knew what a request may look like.

Change: package contract (pure) reads OpenAPI 3.0/3.1 and AsyncAPI 2.6/3.0 in JSON or YAML, matches routes in a segment tree, judges parameters, bodies, streams of lines and their order (extension x-order), and compares revisions.

A request without Host is answered 400 (RFC 9112, 3.2).

--- a/src/main/java/badgermux/Main.java
+++ b/src/main/java/badgermux/Main.java
@@ -1,8 +1,12 @@
 package badgermux;
 
+import badgermux.cli.Commands;
 import badgermux.config.ConfigException;
 
-/** The two commands: {@code serve}, one real dispatcher, and {@code drill}, the decisions on the simulator's wire. */
+/**
+ * Where the program starts. {@code serve} and {@code drill} by themselves, as the platform calls them, go round the
+ * command line's library, which a start would otherwise pay for.
+ */
 public final class Main {
     private Main() { }
 
@@ -11,7 +15,7 @@
         switch (command) {
             case "drill" -> badgermux.sim.Main.main(new String[0]);
             case "serve" -> serve();
-            default -> exit("usage: badgermux serve | drill");
+            default -> others(args);
         }
     }
 
@@ -19,12 +23,22 @@
         try {
             Server.run(System.getenv());
         } catch (ConfigException e) {
-            exit(e.getMessage());
+            System.err.println("badgermux: " + e.getMessage());
+            System.exit(2);
         }
     }
 
-    private static void exit(String why) {
-        System.err.println("badgermux: " + why);
-        System.exit(2);
+    private static void others(String[] args) {
+        System.exit(Commands.run(args, new Commands.Starter() {
+            @Override public int serve(Commands.ServeOptions options) throws ConfigException, InterruptedException {
+                Server.run(System.getenv(), options);
+                return 0;
+            }
+
+            @Override public int drill() {
+                badgermux.sim.Main.main(new String[0]);
+                return 0;
+            }
+        }));
     }
 }
--- /dev/null
+++ b/src/main/java/badgermux/Operators.java
@@ -0,0 +1,116 @@
+package badgermux;
+
+import badgermux.admin.AdminServer;
+import badgermux.cli.Commands.ServeOptions;
+import badgermux.config.ConfigException;
+import badgermux.core.Deadlines;
+import badgermux.front.Gate;
+import badgermux.gate.ContractResource;
+import badgermux.http.Address;
+import badgermux.metrics.Metrics;
+import badgermux.operator.SnapshotException;
+import badgermux.operator.SnapshotStore;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
+import org.tinylog.Logger;
+
+/** Joins what operators set: the snapshot, the admin API and the subsystems behind it. A plain start has none of it. */
+final class Operators {
+    private static final int SHORTEST_TOKEN = 16;
+
+    private final InetSocketAddress at;
+    private final String token;
+    private final EventLoopGroup loop;
+    private final ContractResource contracts;
+    private AdminServer server;
+
+    /** Reads the options and the snapshot; what can't be used ends the start. */
+    Operators(ServeOptions options, EventLoopGroup loop) throws ConfigException {
+        this.loop = loop;
+        at = options.admin() == null ? null : Address.parse(options.admin());
+        if (options.admin() != null && at == null) {
+            throw new ConfigException("--admin is no host:port: " + options.admin());
+        }
+        token = token(options.adminTokenFile());
+        if (at != null && token == null && !at.getAddress().isLoopbackAddress()) {
+            throw new ConfigException("--admin-token-file is needed where --admin is no loopback address");
+        }
+        try {
+            SnapshotStore store = SnapshotStore.open(options.snapshot() == null ? null : Path.of(options.snapshot()),
+                Set.of(ContractResource.SECTION));
+            contracts = deep(() -> new ContractResource(store, loop));
+        } catch (SnapshotException e) {
+            throw new ConfigException("--snapshot: " + e.getMessage());
+        } catch (InvalidPathException e) {
+            throw new ConfigException("--snapshot is no path");
+        }
+    }
+
+    /** Compiling goes as deep as descriptions nest: on a stack of its own. */
+    private static ContractResource deep(java.util.concurrent.Callable<ContractResource> work)
+            throws SnapshotException {
+        FutureTask<ContractResource> task = new FutureTask<>(work);
+        new Thread(null, task, "snapshot", 64 << 20).start();
+        try {
+            return task.get();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof SnapshotException told) {
+                throw told;
+            }
+            throw new SnapshotException("it can't be used: " + e.getCause());
+        }
+    }
+
+    private static String token(String file) throws ConfigException {
+        if (file == null) {
+            return null;
+        }
+        try {
+            String token = Files.readString(Path.of(file)).strip();
+            if (token.length() < SHORTEST_TOKEN) {
+                throw new ConfigException("--admin-token-file: the token has fewer than " + SHORTEST_TOKEN
+                    + " characters");
+            }
+            return token;
+        } catch (IOException | InvalidPathException e) {
+            throw new ConfigException("--admin-token-file can't be read: " + file);
+        }
+    }
+
+    Gate gate(Metrics metrics) {
+        return contracts.gate(loop, metrics);
+    }
+
+    /** Begins to listen, if it is to; on the event loop. */
+    void listen(Deadlines deadlines, Metrics metrics) {
+        if (at == null) {
+            return;
+        }
+        server = new AdminServer(loop, deadlines, metrics, token);
+        server.add(ContractResource.SECTION, contracts);
+        ChannelFuture bound = server.listen(at);
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                Logger.info("the admin API listens on {}", bound.channel().localAddress());
+            } else {
+                Logger.error("the admin API can't listen on {}: {}", at, done.cause().getMessage());
+            }
+        });
+    }
+
+    void close() {
+        if (server != null) {
+            server.close();
+        }
+    }
+}
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -1,6 +1,7 @@
 package badgermux;
 
 import badgermux.backend.Backends;
+import badgermux.cli.Commands.ServeOptions;
 import badgermux.config.Config;
 import badgermux.config.ConfigException;
 import badgermux.core.Clock;
@@ -38,23 +39,33 @@
     private final CountDownLatch started = new CountDownLatch(1);
     private final CountDownLatch quiet = new CountDownLatch(1);
     private final Map<String, String> environment;
+    private final ServeOptions options;
+    private Operators operators;
     private Future<?> alarm;
     private Front front;
     private Director director;
 
-    private Server(Map<String, String> environment) {
+    private Server(Map<String, String> environment, ServeOptions options) {
         this.environment = environment;
+        this.options = options;
     }
 
     /** Serves until SIGTERM has been dealt with. */
     static void run(Map<String, String> environment) throws ConfigException, InterruptedException {
-        new Server(environment).serve();
+        new Server(environment, null).serve();
+    }
+
+    /** The same, with what the command line adds. */
+    static void run(Map<String, String> environment, ServeOptions options)
+            throws ConfigException, InterruptedException {
+        new Server(environment, options).serve();
     }
 
     private void serve() throws ConfigException, InterruptedException {
         // First of all: SIGHUP ends a process that says nothing of it.
         Hangup.handle(this::reload);
         Config config = Config.read(environment);
+        operators = options == null ? null : new Operators(options, loop);
         try {
             ChannelFuture bound = loop.submit(() -> start(config)).get().await();
             if (!bound.isSuccess()) {
@@ -78,11 +89,15 @@
         Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, settings.maxAttempts);
         Backends backends = new Backends(loop, deadlines, clock::now, metrics, engine, config.connectTimeout(),
             settings.connectionIdle, toBackends, settings.reports == Dispatch.ReportMode.ON_PROBE);
-        director = new Director(loop, deadlines, clock, metrics, engine, backends, config);
+        director = new Director(loop, deadlines, clock, metrics, engine, backends, config.director(),
+            config.known(), config.zones(), config.kinds());
         front = new Front(clock::now, deadlines, metrics, engine, settings, director::isListed, clients, overCap,
-            ((long) config.memoryMb() << 20) / HELD_PART);
+            ((long) config.memoryMb() << 20) / HELD_PART, operators == null ? null : operators.gate(metrics));
         engine.join(new Dispatcher(settings, config.seed(), engine), backends, director::watch);
         director.start();
+        if (operators != null) {
+            operators.listen(deadlines, metrics);
+        }
         return front.listen(loop, config.listen());
     }
 
@@ -117,6 +132,9 @@
     /** The process goes on until this returns: once all that was taken is answered. */
     private void end() {
         loop.execute(() -> front.drain(() -> {
+            if (operators != null) {
+                operators.close();
+            }
             System.out.print(metrics.text());
             System.out.flush();
             quiet.countDown();
--- /dev/null
+++ b/src/main/java/badgermux/admin/Resource.java
@@ -0,0 +1,7 @@
+package badgermux.admin;
+
+/** A subsystem's part of the admin API, under {@code /v1/NAME}. */
+public interface Resource {
+    /** Carries a call out; on the admin thread, which may block. */
+    Reply handle(Call call) throws Exception;
+}
--- a/src/main/java/badgermux/backend/FetchExchange.java
+++ b/src/main/java/badgermux/backend/FetchExchange.java
@@ -9,6 +9,7 @@
 import badgermux.http.JsonLine;
 import badgermux.http.Lines;
 import badgermux.http.Relay;
+import badgermux.http.Terms;
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 
@@ -24,6 +25,7 @@
     private Outcome outcome;
     private byte[] result;
     private Report report;
+    private Terms.Lines judge;
     private boolean streams;
     private boolean told;
     private Deadlines.Deadline tail;
@@ -51,6 +53,7 @@
         String load = head.get("X-Server-Load");
         report = load == null ? null : Loads.parse(load.getBytes(StandardCharsets.ISO_8859_1));
         streams = status == 200;
+        judge = streams && relay.terms() != null ? relay.terms().lines(head) : null;
         if (!streams) {
             boolean unseen = (status == 503 || status == 504) && "1".equals(head.get("X-Not-Processed"));
             outcome = unseen ? Outcome.REJECTED : status / 100 == 4 ? Outcome.UNFIT : Outcome.ERROR;
@@ -60,19 +63,24 @@
     @Override public void body(byte[] bytes) throws BadMessage {
         if (streams) {
             for (byte[] line : lines.add(bytes)) {
-                line(JsonLine.parse(line));
+                line(line);
             }
         }
     }
 
-    private void line(JsonLine line) throws BadMessage {
+    private void line(byte[] bytes) throws BadMessage {
         if (outcome != null) {
             return;
         }
+        JsonLine line = JsonLine.parse(bytes);
         // Guards against an answer to another req: it must reach no client.
         if (!relay.id().equals(line.text("id"))) {
             throw new BadMessage(502, "a line for another req");
         }
+        // Guards against an answer that is not what its description says: it may have run, and counts as broken off.
+        if (judge != null && !judge.next(bytes)) {
+            throw new BadMessage(502, "a line that its description does not allow");
+        }
         String state = String.valueOf(line.text("state"));
         switch (state) {
             case "started" -> backends.engine().started(fetch);
@@ -105,7 +113,7 @@
         if (outcome == null && streams) {
             for (byte[] line : lines.rest()) {
                 try {
-                    line(JsonLine.parse(line));
+                    line(line);
                 } catch (BadMessage e) {
                     outcome = Outcome.RESET;
                 }
@@ -123,7 +131,12 @@
         if (!told) {
             told = true;
             backends.settled(fetch);
-            backends.engine().ended(fetch, what, result, report);
+            if (what == Outcome.SERVED && relay.terms() != null) {
+                relay.terms().result(result, usable ->
+                    backends.engine().ended(fetch, what, usable ? result : null, report));
+            } else {
+                backends.engine().ended(fetch, what, result, report);
+            }
         }
     }
 }
--- /dev/null
+++ b/src/main/java/badgermux/cli/ContractCommand.java
@@ -0,0 +1,225 @@
+package badgermux.cli;
+
+import badgermux.contract.Contracts;
+import badgermux.contract.Description;
+import badgermux.contract.DescriptionException;
+import badgermux.contract.Diff;
+import badgermux.contract.Document;
+import badgermux.contract.ProblemJson;
+import badgermux.contract.Request;
+import badgermux.contract.Verdict;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** {@code contract}: descriptions checked, compared, and requests judged by them, without a dispatcher. */
+@Command(name = "contract", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+    description = "Checks OpenAPI and AsyncAPI descriptions, and judges requests by them.",
+    subcommands = {ContractCommand.Check.class, ContractCommand.DiffCommand.class, ContractCommand.Judge.class})
+final class ContractCommand implements Callable<Integer> {
+    @Spec private CommandSpec spec;
+
+    @Override public Integer call() {
+        throw new ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    private static Document read(Path file) throws IOException, DescriptionException {
+        try {
+            return Document.read(file.toString(), Files.readAllBytes(file));
+        } catch (IOException e) {
+            throw new IOException(file + " can't be read", e);
+        }
+    }
+
+    /** A file, and the further documents that it may refer to; the file's name without ending is the description's. */
+    private static Description compile(Path file, List<Path> with) throws IOException, DescriptionException {
+        List<Document> others = new ArrayList<>();
+        for (Path other : with) {
+            others.add(read(other));
+        }
+        return Description.compile(name(file), read(file), others);
+    }
+
+    private static String name(Path file) {
+        return file.getFileName().toString().replaceFirst("\\.(json|ya?ml)$", "");
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+        description = "Reads descriptions, which may refer to each other, and prints what is wrong with them. "
+            + "Exit status 0: all can be used; 1: not; 2: a file can't be read.")
+    static final class Check implements Callable<Integer> {
+        @Spec private CommandSpec spec;
+        @Parameters(arity = "1..*", paramLabel = "FILE", description = "JSON or YAML documents.")
+        private List<Path> files;
+        @Option(names = {"-q", "--quiet"}, description = "Prints faults only.")
+        private boolean quiet;
+
+        @Override public Integer call() throws IOException {
+            PrintWriter out = spec.commandLine().getOut();
+            Map<Path, Document> documents = new LinkedHashMap<>();
+            int status = 0;
+            for (Path file : files) {
+                try {
+                    documents.put(file, read(file));
+                } catch (DescriptionException e) {
+                    e.problems().forEach(out::println);
+                    status = 1;
+                }
+            }
+            List<Description> descriptions = new ArrayList<>();
+            for (Map.Entry<Path, Document> entry : documents.entrySet()) {
+                if (status == 1 && documents.size() < files.size() || files.size() > 1 && !entry.getValue().isRoot()) {
+                    continue;
+                }
+                try {
+                    Description description = Description.compile(name(entry.getKey()), entry.getValue(),
+                        List.copyOf(documents.values()));
+                    descriptions.add(description);
+                    if (!quiet) {
+                        description.warnings().forEach(warning -> out.println("warning: " + warning));
+                        out.println(entry.getKey() + ": " + description.kind() + ", " + description.size()
+                            + " routes and channels");
+                    }
+                } catch (DescriptionException e) {
+                    e.problems().forEach(out::println);
+                    status = 1;
+                }
+            }
+            try {
+                Contracts.of(0, descriptions, false);
+            } catch (DescriptionException e) {
+                e.problems().forEach(out::println);
+                status = 1;
+            }
+            out.flush();
+            return status;
+        }
+    }
+
+    @Command(name = "diff", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+        description = "Prints what NEW would refuse and OLD did not. Exit status 0: nothing; 1: something.")
+    static final class DiffCommand implements Callable<Integer> {
+        @Spec private CommandSpec spec;
+        @Parameters(index = "0", paramLabel = "OLD") private Path old;
+        @Parameters(index = "1", paramLabel = "NEW") private Path now;
+        @Option(names = "--with", paramLabel = "FILE", arity = "1..*",
+            description = "Documents that both may refer to.")
+        private List<Path> with = List.of();
+
+        @Override public Integer call() throws IOException, DescriptionException {
+            PrintWriter out = spec.commandLine().getOut();
+            List<Diff.Change> changes = Diff.of(compile(old, with), compile(now, with));
+            changes.forEach(out::println);
+            out.flush();
+            return changes.isEmpty() ? 0 : 1;
+        }
+    }
+
+    @Command(name = "judge", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+        description = "Judges requests, one JSON object a line, and prints a verdict for each. "
+            + "Exit status 0: all conform; 1: not all; 2: something can't be read.")
+    static final class Judge implements Callable<Integer> {
+        @Spec private CommandSpec spec;
+        @Parameters(index = "0", paramLabel = "DESCRIPTION") private Path description;
+        @Parameters(index = "1", paramLabel = "REQUESTS.jsonl", description = "- for standard input.")
+        private Path requests;
+        @Option(names = "--with", paramLabel = "FILE", arity = "1..*",
+            description = "Further descriptions, and documents that they may refer to.")
+        private List<Path> with = List.of();
+        @Option(names = "--undescribed", paramLabel = "refuse|pass", defaultValue = "refuse",
+            description = "What becomes of paths that are not described; default: ${DEFAULT-VALUE}.")
+        private Undescribed undescribed;
+        @Option(names = "--format", paramLabel = "lines|problem", defaultValue = "lines",
+            description = "lines: a verdict a line; problem: the body that a client would get; default: "
+                + "${DEFAULT-VALUE}.")
+        private Format format;
+
+        /** What becomes of paths that are not described. */
+        enum Undescribed { refuse, pass }
+
+        /** How verdicts are printed. */
+        enum Format { lines, problem }
+
+        @Override public Integer call() throws IOException, DescriptionException {
+            List<Description> all = new ArrayList<>(List.of(compile(description, with)));
+            for (Path other : with) {
+                if (read(other).isRoot()) {
+                    all.add(compile(other, with));
+                }
+            }
+            Contracts contracts = Contracts.of(0, all, undescribed == Undescribed.pass);
+            PrintWriter out = spec.commandLine().getOut();
+            boolean conform = true;
+            try (BufferedReader lines = requests.toString().equals("-")
+                    ? new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))
+                    : Files.newBufferedReader(requests)) {
+                int number = 0;
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    number++;
+                    if (!line.isBlank()) {
+                        Verdict verdict = contracts.judge(request(line, number)).verdict();
+                        conform &= verdict.conforms();
+                        out.println(line(verdict));
+                    }
+                }
+            } finally {
+                out.flush();
+            }
+            return conform ? 0 : 1;
+        }
+
+        private String line(Verdict verdict) {
+            if (verdict.conforms()) {
+                return "{\"conforms\":true}";
+            }
+            return format == Format.problem ? new String(ProblemJson.of(verdict, 0), StandardCharsets.UTF_8)
+                : "{\"conforms\":false,\"status\":" + verdict.status() + ",\"faults\":" + ProblemJson.faults(verdict)
+                    + '}';
+        }
+
+        private Request request(String line, int number) throws IOException {
+            try {
+                JsonObject object = JsonParser.parseString(line).getAsJsonObject();
+                Map<String, List<String>> headers = new LinkedHashMap<>();
+                if (object.has("headers")) {
+                    object.getAsJsonObject("headers").entrySet().forEach(header -> headers.put(
+                        header.getKey().toLowerCase(java.util.Locale.ROOT), values(header.getValue())));
+                }
+                byte[] body = object.has("bodyBase64")
+                    ? Base64.getDecoder().decode(object.get("bodyBase64").getAsString())
+                    : object.has("body") && !object.get("body").isJsonNull()
+                        ? object.get("body").getAsString().getBytes(StandardCharsets.UTF_8) : new byte[0];
+                return new Request(object.get("method").getAsString(), object.get("target").getAsString(),
+                    name -> headers.getOrDefault(name.toLowerCase(java.util.Locale.ROOT), List.of()), body);
+            } catch (JsonParseException | IllegalStateException | IllegalArgumentException | NullPointerException
+                    | ClassCastException | UnsupportedOperationException e) {
+                throw new IOException(requests + ":" + number + ": no request");
+            }
+        }
+
+        private static List<String> values(JsonElement value) {
+            return value.isJsonArray() ? value.getAsJsonArray().asList().stream().map(JsonElement::getAsString).toList()
+                : List.of(value.getAsString());
+        }
+    }
+}
--- a/src/main/java/badgermux/config/Config.java
+++ b/src/main/java/badgermux/config/Config.java
@@ -2,6 +2,7 @@
 
 import badgermux.decide.Dispatch;
 import badgermux.director.ListDecoder;
+import badgermux.http.Address;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -73,37 +74,6 @@
         return new Reader(variables, root).read();
     }
 
-    /** The number of a zone by its name; -1 where the settings know none of that name. */
-    public int zone(String zoneName) {
-        return index(zones, zoneName);
-    }
-
-    /** The number of a kind by its name; -1 where the settings know none of that name. */
-    public int kind(String kindName) {
-        return index(kinds, kindName);
-    }
-
-    private static int index(List<String> names, String name) {
-        return name == null ? -1 : names.indexOf(name);
-    }
-
-    /** An address of the form host:port, the host in digits; null where it is none. */
-    public static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        String host = colon < 0 ? "" : text.substring(0, colon);
-        String port = text.substring(colon + 1);
-        boolean numeric = host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}") || host.matches("\\[[0-9a-fA-F:.]+]");
-        if (!numeric || !port.matches("[0-9]{1,5}") || Integer.parseInt(port) > 65_535) {
-            return null;
-        }
-        for (String part : host.startsWith("[") ? new String[0] : host.split("\\.")) {
-            if (Integer.parseInt(part) > 255) {
-                return null;
-            }
-        }
-        return new InetSocketAddress(host, Integer.parseInt(port));
-    }
-
     /** Reads the file's object; what the environment says goes before it. */
     private record Reader(Map<String, String> environment, JsonObject root) {
         Config read() throws ConfigException {
@@ -176,7 +146,7 @@
 
         private InetSocketAddress endpoint(String variable, String key) throws ConfigException {
             String value = text(variable, key, null);
-            InetSocketAddress address = value == null ? null : address(value);
+            InetSocketAddress address = value == null ? null : Address.parse(value);
             if (address == null) {
                 throw new ConfigException(variable + " (" + key + ") "
                     + (value == null ? "is missing" : "is no host:port: " + value));
--- /dev/null
+++ b/src/main/java/badgermux/contract/Bundle.java
@@ -0,0 +1,239 @@
+package badgermux.contract;
+
+import badgermux.contract.DescriptionException.Problem;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.databind.node.ArrayNode;
+import tools.jackson.databind.node.JsonNodeFactory;
+import tools.jackson.databind.node.ObjectNode;
+
+/**
+ * A description and the documents given with it as one tree, in which each {@code $ref} is a pointer into that tree. The
+ * other documents hang under {@value #OTHERS}. Whatever refers to something that was not given is refused: nothing is
+ * fetched, ever.
+ */
+final class Bundle {
+    static final String OTHERS = "x-bundled";
+    private static final int MAX_CHAIN = 64, MAX_PROBLEMS = 50;
+    /** Their members are names, not keywords. */
+    private static final Set<String> MAPS = Set.of("properties", "patternProperties", "$defs", "definitions",
+        "dependentSchemas", "schemas", "responses", "parameters", "requestBodies", "headers", "messages", "channels",
+        "paths", "content", "operations", "pathItems", "callbacks", "securitySchemes", "messageTraits",
+        "operationTraits", "correlationIds", "links", "variables", "servers", "mapping");
+    /** What they hold is a value and no part of the description. */
+    private static final Set<String> VALUES = Set.of("example", "examples", "default", "const", "enum");
+
+    private final Map<String, Document> documents = new LinkedHashMap<>();
+    private final Map<String, Boolean> bundled = new LinkedHashMap<>();
+    private final List<Problem> problems = new ArrayList<>();
+    private final Map<String, String> references = new HashMap<>();
+    private final Document primary;
+    private JsonNode root;
+
+    private Bundle(Document primary, List<Document> others) {
+        this.primary = primary;
+        documents.put(primary.name(), primary);
+        others.forEach(document -> documents.putIfAbsent(document.name(), document));
+    }
+
+    /** Joins them; the first problems are all told at once. */
+    static Bundle of(Document primary, List<Document> others) throws DescriptionException {
+        Bundle bundle = new Bundle(primary, others);
+        bundle.join();
+        bundle.check();
+        if (!bundle.problems.isEmpty()) {
+            throw new DescriptionException(bundle.problems);
+        }
+        return bundle;
+    }
+
+    private void join() {
+        ObjectNode joined = (ObjectNode) rewrite(primary, primary.root(), "", "", false);
+        Map<String, JsonNode> parts = new LinkedHashMap<>();
+        for (String next = pending(); next != null; next = pending()) {
+            bundled.put(next, true);
+            Document document = documents.get(next);
+            parts.put(next, rewrite(document, document.root(), "", '/' + OTHERS + '/' + Json.step(next), false));
+        }
+        if (!parts.isEmpty()) {
+            joined = joined.deepCopy();
+            ObjectNode holder = JsonNodeFactory.instance.objectNode();
+            parts.forEach(holder::set);
+            joined.set(OTHERS, holder);
+        }
+        root = joined;
+    }
+
+    private String pending() {
+        return bundled.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).findFirst().orElse(null);
+    }
+
+    /** The same tree with its references turned into pointers; what needs no change is not copied. */
+    private JsonNode rewrite(Document in, JsonNode node, String pointer, String prefix, boolean names) {
+        if (node instanceof ArrayNode array) {
+            ArrayNode copy = null;
+            for (int i = 0; i < array.size(); i++) {
+                JsonNode item = rewrite(in, array.get(i), pointer + '/' + i, prefix, false);
+                if (item != array.get(i)) {
+                    copy = copy == null ? array.deepCopy() : copy;
+                    copy.set(i, item);
+                }
+            }
+            return copy == null ? array : copy;
+        }
+        if (!(node instanceof ObjectNode object)) {
+            return node;
+        }
+        ObjectNode copy = null;
+        for (Map.Entry<String, JsonNode> member : object.properties()) {
+            String key = member.getKey();
+            JsonNode value = member.getValue();
+            String at = pointer + '/' + Json.step(key);
+            JsonNode changed = value;
+            if (!names && key.equals("$ref") && value.isString()) {
+                String target = target(in, value.stringValue(), pointer);
+                references.put(prefix + pointer, target);
+                changed = target.equals(value.stringValue()) ? value : JsonNodeFactory.instance.stringNode(target);
+            } else if (!names && key.equals("$id") && value.isString()) {
+                problem(in, at, "$id is not supported: it would move what references lead to");
+            } else if (names || !VALUES.contains(key)) {
+                changed = rewrite(in, value, at, prefix, !names && MAPS.contains(key));
+            }
+            if (changed != value) {
+                copy = copy == null ? shallow(object) : copy;
+                copy.set(key, changed);
+            }
+        }
+        return copy == null ? object : copy;
+    }
+
+    private static ObjectNode shallow(ObjectNode object) {
+        ObjectNode copy = JsonNodeFactory.instance.objectNode();
+        object.properties().forEach(member -> copy.set(member.getKey(), member.getValue()));
+        return copy;
+    }
+
+    private void problem(Document in, String pointer, String reason) {
+        if (problems.size() < MAX_PROBLEMS) {
+            problems.add(in.problem(pointer, reason));
+        }
+    }
+
+    /** The reference as a pointer into the joined tree, beginning with #. */
+    private String target(Document in, String reference, String pointer) {
+        int hash = reference.indexOf('#');
+        String file = hash < 0 ? reference : reference.substring(0, hash);
+        String fragment = hash < 0 ? "" : reference.substring(hash + 1);
+        String name = in.name();
+        if (!file.isEmpty()) {
+            try {
+                URI uri = URI.create(file);
+                if (uri.getScheme() != null || uri.getAuthority() != null) {
+                    problem(in, pointer, "$ref leads to a remote address: nothing is fetched");
+                    return "#";
+                }
+                name = URI.create(in.name().replace(' ', '+')).resolve(uri).getPath();
+            } catch (IllegalArgumentException e) {
+                name = file;
+            }
+            if (!documents.containsKey(name)) {
+                problem(in, pointer, "$ref leads to a document that was not given: " + Fault.echo(file));
+                return "#";
+            }
+        }
+        if (!fragment.isEmpty() && !fragment.startsWith("/")) {
+            problem(in, pointer, "$ref is no JSON pointer; anchors are not supported");
+            return "#";
+        }
+        if (name.equals(primary.name())) {
+            return '#' + fragment;
+        }
+        bundled.putIfAbsent(name, false);
+        return "#/" + OTHERS + '/' + Json.step(name) + fragment;
+    }
+
+    /** Each reference leads somewhere, and no chain of them leads back to itself. */
+    private void check() {
+        for (Map.Entry<String, String> reference : references.entrySet()) {
+            Set<String> seen = new HashSet<>();
+            JsonNode at = root;
+            String target = reference.getValue();
+            while (at != null && target != null && problems.isEmpty()) {
+                List<String> steps = steps(target);
+                at = steps == null ? null : Json.at(root, steps);
+                if (at == null) {
+                    problems.add(problem(reference.getKey(), "$ref leads nowhere: " + Fault.echo(target)));
+                } else if (!seen.add(target) || seen.size() > MAX_CHAIN) {
+                    problems.add(problem(reference.getKey(), "$ref leads back to itself"));
+                    at = null;
+                } else {
+                    target = at.isObject() && at.get("$ref") != null && at.get("$ref").isString()
+                        ? at.get("$ref").stringValue() : null;
+                }
+            }
+        }
+    }
+
+    /** The steps of a reference's pointer, percent-encoding undone; null where it is none. */
+    static List<String> steps(String reference) {
+        if (!reference.startsWith("#")) {
+            return null;
+        }
+        String text = reference.substring(1);
+        try {
+            return Json.steps(text.indexOf('%') < 0 ? text : Percent.decode(text));
+        } catch (Unreadable e) {
+            return Json.steps(text);
+        }
+    }
+
+    JsonNode root() {
+        return root;
+    }
+
+    String name() {
+        return primary.name();
+    }
+
+    /** The value at a pointer; null where there is none. */
+    JsonNode at(String pointer) {
+        return Json.at(root, Json.steps(pointer));
+    }
+
+    /** Where a value really stands: its own pointer, or that to which its references lead. */
+    String resolve(String pointer) {
+        String at = pointer;
+        for (int i = 0; i < MAX_CHAIN; i++) {
+            JsonNode node = at(at);
+            JsonNode reference = node == null || !node.isObject() ? null : node.get("$ref");
+            if (reference == null || !reference.isString()) {
+                return at;
+            }
+            StringBuilder next = new StringBuilder();
+            steps(reference.stringValue()).forEach(step -> next.append('/').append(Json.step(step)));
+            at = next.toString();
+        }
+        return at;
+    }
+
+    /** A problem at a place of the joined tree, told by the document that it came from. */
+    Problem problem(String pointer, String reason) {
+        String prefix = '/' + OTHERS + '/';
+        if (pointer.startsWith(prefix)) {
+            int end = pointer.indexOf('/', prefix.length());
+            String name = pointer.substring(prefix.length(), end < 0 ? pointer.length() : end)
+                .replace("~1", "/").replace("~0", "~");
+            if (documents.containsKey(name)) {
+                return documents.get(name).problem(end < 0 ? "" : pointer.substring(end), reason);
+            }
+        }
+        return primary.problem(pointer, reason);
+    }
+}
--- /dev/null
+++ b/src/main/java/badgermux/contract/MediaType.java
@@ -0,0 +1,68 @@
+package badgermux.contract;
+
+import java.util.Locale;
+import java.util.Map;
+
+/** A media type or range (RFC 9110, 8.3.1 and 12.5.1), its parameters but for the charset left out. */
+record MediaType(String type, String subtype, String charset) {
+    private static final java.util.regex.Pattern TOKEN = java.util.regex.Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
+    /** RFC 9110, 8.3: what has no Content-Type may be taken for bytes. */
+    static final MediaType NONE = new MediaType("application", "octet-stream", null);
+
+    /** Null where the text is none. */
+    static MediaType parse(String text) {
+        String[] parts = text.split(";");
+        int slash = parts.length == 0 ? -1 : parts[0].indexOf('/');
+        if (slash < 0) {
+            return null;
+        }
+        String type = parts[0].substring(0, slash).strip();
+        String subtype = parts[0].substring(slash + 1).strip();
+        String charset = null;
+        for (int i = 1; i < parts.length; i++) {
+            int equals = parts[i].indexOf('=');
+            if (equals > 0 && parts[i].substring(0, equals).strip().equalsIgnoreCase("charset")) {
+                charset = parts[i].substring(equals + 1).strip().replace("\"", "").toLowerCase(Locale.ROOT);
+            }
+        }
+        return !TOKEN.matcher(type).matches() || !TOKEN.matcher(subtype).matches() ? null
+            : new MediaType(type.toLowerCase(Locale.ROOT), subtype.toLowerCase(Locale.ROOT), charset);
+    }
+
+    boolean isJson() {
+        return subtype.equals("json") || subtype.endsWith("+json");
+    }
+
+    boolean isLines() {
+        return subtype.equals("x-ndjson") || subtype.equals("ndjson") || subtype.equals("jsonl")
+            || subtype.equals("x-jsonlines");
+    }
+
+    boolean isForm() {
+        return type.equals("application") && subtype.equals("x-www-form-urlencoded");
+    }
+
+    boolean isText() {
+        return type.equals("text") && !isJson();
+    }
+
+    /** The entry of a content map that fits best: the type itself, then its range, then any; null for none. */
+    static <T> T best(Map<MediaType, T> content, MediaType of) {
+        T best = null;
+        int rank = 0;
+        for (Map.Entry<MediaType, T> entry : content.entrySet()) {
+            MediaType range = entry.getKey();
+            int fits = range.type.equals("*") ? 1 : !range.type.equals(of.type) ? 0
+                : range.subtype.equals("*") ? 2 : range.subtype.equals(of.subtype) ? 3 : 0;
+            if (fits > rank) {
+                rank = fits;
+                best = entry.getValue();
+            }
+        }
+        return best;
+    }
+
+    @Override public String toString() {
+        return type + '/' + subtype;
+    }
+}
--- /dev/null
+++ b/src/main/java/badgermux/contract/TooCostly.java
@@ -0,0 +1,10 @@
+package badgermux.contract;
+
+/** A judgement took more steps than it may: nothing is known of the message. */
+public final class TooCostly extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    TooCostly() {
+        super("the judgement takes more steps than it may", null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/badgermux/contract/Yaml.java
@@ -0,0 +1,148 @@
+package badgermux.contract;
+
+import java.io.ByteArrayInputStream;
+import java.io.InputStreamReader;
+import java.math.BigInteger;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
+import org.snakeyaml.engine.v2.exceptions.Mark;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
+import org.snakeyaml.engine.v2.nodes.MappingNode;
+import org.snakeyaml.engine.v2.nodes.Node;
+import org.snakeyaml.engine.v2.nodes.NodeTuple;
+import org.snakeyaml.engine.v2.nodes.ScalarNode;
+import org.snakeyaml.engine.v2.nodes.SequenceNode;
+import org.snakeyaml.engine.v2.nodes.Tag;
+import org.snakeyaml.engine.v2.schema.CoreSchema;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.databind.node.ArrayNode;
+import tools.jackson.databind.node.JsonNodeFactory;
+import tools.jackson.databind.node.ObjectNode;
+
+/** Reads the part of YAML 1.2 that is JSON in another dress: the core schema, names that are scalars, one document. */
+final class Yaml {
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+    private int nodes;
+
+    private Yaml() { }
+
+    static JsonNode document(byte[] bytes) throws Unreadable {
+        Json.text(bytes);
+        Node root = compose(bytes);
+        return root == null ? NODES.nullNode() : new Yaml().value(root, 0);
+    }
+
+    private static Node compose(byte[] bytes) throws Unreadable {
+        LoadSettings settings = LoadSettings.builder().setCodePointLimit(Document.MAX_BYTES).setSchema(new CoreSchema())
+            .setMaxAliasesForCollections(1000).setAllowNonScalarKeys(false).build();
+        try {
+            return new Compose(settings).composeReader(
+                new InputStreamReader(new ByteArrayInputStream(bytes), StandardCharsets.UTF_8)).orElse(null);
+        } catch (MarkedYamlEngineException e) {
+            throw new Unreadable(line(e.getProblemMark()), "malformed YAML: " + e.getProblem());
+        } catch (YamlEngineException e) {
+            throw new Unreadable(0, "malformed YAML");
+        } catch (StackOverflowError e) {
+            throw new Unreadable(0, "nested too deep");
+        }
+    }
+
+    private static int line(Optional<Mark> mark) {
+        return mark.map(m -> m.getLine() + 1).orElse(0);
+    }
+
+    private JsonNode value(Node node, int depth) throws Unreadable {
+        int line = line(node.getStartMark());
+        // Guards against aliases that unfold without end: each use counts.
+        if (++nodes > Document.MAX_NODES || depth > Document.MAX_DEPTH) {
+            throw new Unreadable(line, "nested too deep, or too many values");
+        }
+        if (node instanceof MappingNode mapping) {
+            ObjectNode object = NODES.objectNode();
+            Set<String> names = new HashSet<>();
+            for (NodeTuple tuple : mapping.getValue()) {
+                int at = line(tuple.getKeyNode().getStartMark());
+                if (!(tuple.getKeyNode() instanceof ScalarNode key)) {
+                    throw new Unreadable(at, "a name is no scalar");
+                }
+                if (!names.add(key.getValue())) {
+                    throw new Unreadable(at, "a name stands twice in one object: " + key.getValue());
+                }
+                object.set(key.getValue(), value(tuple.getValueNode(), depth + 1));
+            }
+            return object;
+        }
+        if (node instanceof SequenceNode sequence) {
+            ArrayNode array = NODES.arrayNode();
+            for (Node item : sequence.getValue()) {
+                array.add(value(item, depth + 1));
+            }
+            return array;
+        }
+        return scalar((ScalarNode) node, line);
+    }
+
+    private static JsonNode scalar(ScalarNode node, int line) throws Unreadable {
+        String text = node.getValue();
+        Tag tag = node.getTag();
+        if (tag.equals(Tag.NULL)) {
+            return NODES.nullNode();
+        } else if (tag.equals(Tag.BOOL)) {
+            return NODES.booleanNode(text.equalsIgnoreCase("true"));
+        } else if (tag.equals(Tag.INT)) {
+            return integer(text, line);
+        } else if (tag.equals(Tag.FLOAT)) {
+            return Json.number(text, line);
+        } else if (tag.equals(Tag.STR)) {
+            return NODES.stringNode(text);
+        }
+        throw new Unreadable(line, "a tag that JSON does not know: " + tag.getValue());
+    }
+
+    private static JsonNode integer(String text, int line) throws Unreadable {
+        int radix = text.startsWith("0x") ? 16 : text.startsWith("0o") ? 8 : 10;
+        if (text.length() > Json.MAX_NUMBER) {
+            throw new Unreadable(line, "a number is out of bounds");
+        }
+        BigInteger value = new BigInteger(radix == 10 ? text : text.substring(2), radix);
+        return value.bitLength() < 32 ? NODES.numberNode(value.intValue())
+            : value.bitLength() < 64 ? NODES.numberNode(value.longValue()) : NODES.numberNode(value);
+    }
+
+    /** The line on which the value at a pointer, or its name, begins; the nearest one above it where there is none. */
+    static int lineOf(byte[] bytes, List<String> pointer) {
+        int line = 1;
+        try {
+            Node at = compose(bytes);
+            for (String step : pointer) {
+                Node next = null;
+                if (at instanceof MappingNode mapping) {
+                    for (NodeTuple tuple : mapping.getValue()) {
+                        if (tuple.getKeyNode() instanceof ScalarNode key && key.getValue().equals(step)) {
+                            next = tuple.getValueNode();
+                            line = line(key.getStartMark());
+                        }
+                    }
+                } else if (at instanceof SequenceNode sequence && step.matches("[0-9]{1,8}")
+                        && Integer.parseInt(step) < sequence.getValue().size()) {
+                    next = sequence.getValue().get(Integer.parseInt(step));
+                    line = line(next.getStartMark());
+                }
+                if (next == null) {
+                    return line;
+                }
+                at = next;
+            }
+            return line;
+        } catch (Unreadable e) {
+            return line;
+        }
+    }
+}
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -150,7 +150,10 @@
         }
     }
 
-    /** A fetch has ended; {@code result} is its answer where the outcome is SERVED, {@code report} may be null. */
+    /**
+     * A fetch has ended; {@code result} is its answer where the outcome is SERVED, {@code report} may be null. Where a
+     * backend has served what can't be used, the result is null: the req fails, and it does not run again.
+     */
     public void ended(long fetch, Outcome outcome, byte[] result, Dispatch.Report report) {
         Fetch f = fetches.remove(fetch);
         if (f == null) {
@@ -198,7 +201,9 @@
         Req<P> r = reqs.get(f.req);
         r.out--;
         r.timedOut |= outcome == Outcome.TIMED_OUT;
-        if (outcome == Outcome.SERVED && !r.over) {
+        if (outcome == Outcome.SERVED && result == null && !r.over) {
+            failReq(r, false);
+        } else if (outcome == Outcome.SERVED && !r.over) {
             close(r);
             metrics.add(Count.ANSWERS_SERVED);
             r.asker.served(result);
--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -1,13 +1,13 @@
 package badgermux.director;
 
 import badgermux.backend.Backends;
-import badgermux.config.Config;
 import badgermux.core.Clock;
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
 import badgermux.decide.Dispatch;
 import badgermux.decide.Dispatch.ListUpdate;
 import badgermux.decide.Dispatch.WorkerState;
+import badgermux.http.Address;
 import badgermux.http.BadMessage;
 import badgermux.http.Bytes;
 import badgermux.http.ClientConnection;
@@ -43,7 +43,9 @@
     private final Metrics metrics;
     private final Engine<?> engine;
     private final Backends backends;
-    private final Config config;
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final ListDecoder.Listing known;
     private InetSocketAddress address;
     private final Map<Long, String> names = new HashMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
@@ -52,21 +54,31 @@
     private long revision;
     private boolean listed;
 
+    /**
+     * Joins the director to an engine.
+     *
+     * @param at    where it answers
+     * @param known the list as last held
+     * @param zones the names of the zones, in the module's order
+     * @param kinds the names of the kinds of backends, in the module's order
+     */
     public Director(EventLoopGroup loop, Deadlines deadlines, Clock clock, Metrics metrics, Engine<?> engine,
-            Backends backends, Config config) {
+            Backends backends, InetSocketAddress at, ListDecoder.Listing known, List<String> zones,
+            List<String> kinds) {
         this.loop = loop;
         this.deadlines = deadlines;
         this.clock = clock;
         this.metrics = metrics;
         this.engine = engine;
         this.backends = backends;
-        this.config = config;
-        address = config.director();
+        this.known = known;
+        this.zones = zones;
+        this.kinds = kinds;
+        address = at;
     }
 
     /** Tells the module of the list as it was last held. */
     public void start() {
-        ListDecoder.Listing known = config.known();
         revision = known.revision;
         listed = !known.members.isEmpty();
         tell(ListUpdate.CACHED, entries(known));
@@ -169,9 +181,9 @@
     private Dispatch.Worker worker(ListDecoder.Member member) {
         long id = number(member.id);
         WorkerState state = PHASES.get(member.phase);
-        InetSocketAddress address = member.hostPort == null ? null : Config.address(member.hostPort);
-        int zone = config.zone(member.locality);
-        int kind = config.kind(member.flavor);
+        InetSocketAddress address = member.hostPort == null ? null : Address.parse(member.hostPort);
+        int zone = member.locality == null ? -1 : zones.indexOf(member.locality);
+        int kind = member.flavor == null ? -1 : kinds.indexOf(member.flavor);
         if (state == null || zone < 0 || kind < 0 || address == null && state != WorkerState.GONE) {
             return null;
         }
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -50,6 +50,7 @@
     private final int overCap;
     private final long maxHeld;
     private final long comeBack;
+    private final Gate gate;
     private final LinkedHashSet<FrontConnection> connections = new LinkedHashSet<>();
     /** Those of which no whole request has come yet, the oldest first. */
     private final LinkedHashSet<FrontConnection> fresh = new LinkedHashSet<>();
@@ -72,10 +73,11 @@
      * @param cap      how many client connections are served at once
      * @param overCap  how many more are accepted, to be told so and not left to wait
      * @param maxHeld  what all bodies that have come, whole or in part, may hold until their reqs are answered
+     * @param gate     judges requests before they are taken; null where all may come in
      */
     public Front(LongSupplier clock, Deadlines deadlines, Metrics metrics, Engine<Relay> engine,
             Dispatch.Settings settings, BooleanSupplier ready, int cap, int overCap,
-            long maxHeld) {
+            long maxHeld, Gate gate) {
         this.clock = clock;
         this.deadlines = deadlines;
         this.metrics = metrics;
@@ -89,6 +91,7 @@
         this.cap = cap;
         this.overCap = overCap;
         this.maxHeld = maxHeld;
+        this.gate = gate;
         metrics.level("client_connections_open", connections::size);
     }
 
@@ -259,6 +262,11 @@
         return ready.getAsBoolean() && !draining;
     }
 
+    /** Null where there is none. */
+    Gate gate() {
+        return gate;
+    }
+
     Engine<Relay> engine() {
         return engine;
     }
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -7,6 +7,7 @@
 import badgermux.http.Head;
 import badgermux.http.MessageReader;
 import badgermux.http.Relay;
+import badgermux.http.Terms;
 import badgermux.metrics.Metrics.Count;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -56,6 +57,7 @@
     private Incoming current;
     private Deadlines.Deadline limit;
     private String openId;
+    private Terms terms;
     private long req;
     private long cameAt;
     private long drained;
@@ -211,14 +213,18 @@
     private void request() throws BadMessage {
         String[] line = current.head.requestLine();
         keepAlive = current.head.keepsAlive();
+        // RFC 9112, 3.2: a request without it is none.
+        if (current.head.get("Host") == null) {
+            throw new BadMessage(400, "Host is missing");
+        }
         switch (line[0]) {
-            case "POST" -> req(ReqHead.of(current.head, line[0], line[1]));
+            case "POST" -> req(ReqHead.of(current.head, line[0], line[1]), line[0], line[1]);
             case "GET" -> about(line[1]);
             default -> throw new BadMessage(405, "every req comes by POST");
         }
     }
 
-    private void req(ReqHead fields) throws BadMessage {
+    private void req(ReqHead fields, String method, String target) throws BadMessage {
         int jobClass = front.classOf(fields.className());
         if (jobClass < 0) {
             throw new BadMessage(400, "unknown class");
@@ -242,14 +248,65 @@
             synthetic(front.comeBack());
             return;
         }
-        Relay relay = new Relay(fields.id(), fields.start(), fields.headers(), current.body.toByteArray());
+        byte[] body = current.body.toByteArray();
         current.body = null;
-        // Guards against a patience beyond that of its class: the module would take all others for late.
-        long patience = Math.min(fields.timeout() > 0 ? fields.timeout() : Long.MAX_VALUE, front.patience(jobClass));
+        // From here on its id is in use, also while it is being judged.
         openId = fields.id();
         front.take(openId);
         front.works(this);
         req = 0;
+        if (front.gate() == null) {
+            take(fields, jobClass, body);
+        } else {
+            front.gate().judge(method, target, current.head, body, new Judged(fields, jobClass, body, current));
+        }
+    }
+
+    /** Waits for what the gate says of a request. */
+    private final class Judged implements Gate.Answer {
+        private final ReqHead fields;
+        private final int jobClass;
+        private final byte[] body;
+        private final Incoming of;
+
+        Judged(ReqHead fields, int jobClass, byte[] body, Incoming of) {
+            this.fields = fields;
+            this.jobClass = jobClass;
+            this.body = body;
+            this.of = of;
+        }
+
+        /** Guards against a verdict on a request whose client has left, or was rejected, meanwhile. */
+        private boolean isStale() {
+            return closed || ending || current != of;
+        }
+
+        @Override public void pass(Terms held) {
+            if (!isStale()) {
+                terms = held;
+                take(fields, jobClass, body);
+            } else if (held != null) {
+                held.over();
+            }
+        }
+
+        @Override public void refuse(int status, String reason, String headers, byte[] content) {
+            if (!isStale()) {
+                answer(status, reason, headers, content);
+            }
+        }
+
+        @Override public void busy() {
+            if (!isStale()) {
+                synthetic(front.comeBack());
+            }
+        }
+    }
+
+    private void take(ReqHead fields, int jobClass, byte[] body) {
+        Relay relay = new Relay(fields.id(), fields.start(), fields.headers(), body, terms);
+        // Guards against a patience beyond that of its class: the module would take all others for late.
+        long patience = Math.min(fields.timeout() > 0 ? fields.timeout() : Long.MAX_VALUE, front.patience(jobClass));
         long taken = front.engine().take(this, relay, jobClass, fields.slots(), current.cameAt + patience);
         req = busy ? taken : 0;     // it may have its answer by now
     }
@@ -327,6 +384,10 @@
 
     private void over() {
         busy = false;
+        if (terms != null) {
+            terms.over();
+            terms = null;
+        }
         release(current);
         current = null;
         front.answered(openId);
--- /dev/null
+++ b/src/main/java/badgermux/gate/package-info.java
@@ -0,0 +1,2 @@
+/** Joins the contracts to the front, to the answers of backends and to the admin API. */
+package badgermux.gate;
--- /dev/null
+++ b/src/main/java/badgermux/http/Terms.java
@@ -0,0 +1,21 @@
+package badgermux.http;
+
+import java.util.function.Consumer;
+
+/** What a req's answer is held to, from when the req was taken until its final answer. */
+public interface Terms {
+    /** The judge of one answer's lines. */
+    interface Lines {
+        /** Whether this line may come now. */
+        boolean next(byte[] line);
+    }
+
+    /** The judge of an answer that begins with this head; null where its lines are not judged. */
+    Lines lines(Head head);
+
+    /** Tells, at once or later but on the event loop, whether a result may be served. */
+    void result(byte[] result, Consumer<Boolean> usable);
+
+    /** The req has its final answer, or nobody waits for it any more. */
+    void over();
+}
--- a/src/test/java/badgermux/config/ConfigTest.java
+++ b/src/test/java/badgermux/config/ConfigTest.java
@@ -65,9 +65,9 @@
     }
 
     @Test void addressesAreInDigits() {
-        assertEquals(80, Config.address("10.1.2.3:80").getPort());
+        assertEquals(80, badgermux.http.Address.parse("10.1.2.3:80").getPort());
         for (String bad : List.of("", ":", "host:80", "1.2.3.4", "1.2.3.4:", "1.2.3.4:70000", "1.2.3.400:1")) {
-            assertNull(Config.address(bad), bad);
+            assertNull(badgermux.http.Address.parse(bad), bad);
         }
     }
 }
--- a/src/test/java/badgermux/it/BadClientsIT.java
+++ b/src/test/java/badgermux/it/BadClientsIT.java
@@ -72,11 +72,12 @@
         "POST /preview HTTP/1.1|@X-Timeout: -5m|Content-Length: 0||~400",
         "POST /preview HTTP/1.1|@X-Attrs: slots=1f|Content-Length: 0||~400",
         "POST /preview HTTP/1.1|@A: b%Content-Length: 0||~400", "POST /preview HTTP/1.1|@A: b^c||~400",
+        "POST /preview HTTP/1.1#|@Content-Length: 0||~400",
         "POST /preview HTTP/1.1|@A : b||~400", "POST /preview HTTP/1.1|@A: b| folded: c||~400"};
 
     @Test void whatBreaksTheProtocolIsRejectedAndReachesNoBackend() throws IOException, InterruptedException {
         for (String row : REJECTED) {
-            String text = row.substring(0, row.length() - 4).replace("@", ID).replace("|", "\r\n").replace('%', '\n')
+            String text = row.substring(0, row.length() - 4).replace("HTTP/1.1|", "HTTP/1.1|Host: h|").replace("#", "").replace("@", ID).replace("|", "\r\n").replace('%', '\n')
                 .replace('^', '\0');
             try (Client bad = program.client().send(text)) {
                 assertEquals(row.substring(row.length() - 3), String.valueOf(bad.read().status()), row);
