--- a/src/main/java/badgermux/contract/AsyncApi.java
+++ b/src/main/java/badgermux/contract/AsyncApi.java
@@ -19,7 +19,7 @@
     private final boolean old;
 
     AsyncApi(Description description, Bundle bundle, boolean old) {
-        super(description, bundle, Dialects.getDraft7());
+        super(description, bundle, Dialects.getDraft7(), true);
         this.old = old;
     }
 
--- a/src/main/java/badgermux/contract/Bundle.java
+++ b/src/main/java/badgermux/contract/Bundle.java
@@ -98,7 +98,7 @@
             String at = pointer + '/' + Json.step(key);
             JsonNode changed = value;
             if (!names && key.equals("$ref") && value.isString()) {
-                String target = target(in, value.stringValue(), pointer);
+                String target = target(in, value.stringValue(), at);
                 references.put(prefix + pointer, target);
                 changed = target.equals(value.stringValue()) ? value : JsonNodeFactory.instance.stringNode(target);
             } else if (!names && key.equals("$id") && value.isString()) {
@@ -111,7 +111,59 @@
                 copy.set(key, changed);
             }
         }
-        return copy == null ? object : copy;
+        return names || !(object.get("discriminator") instanceof ObjectNode discriminator) ? copy == null ? object : copy
+            : discriminated(in, copy == null ? shallow(object) : copy, discriminator, pointer + "/discriminator");
+    }
+
+    /**
+     * A discriminator in words that every validator knows: the property must be there and name an alternative, and then
+     * that alternative holds. OpenAPI leaves it open whether a discriminator is more than a hint; here it chooses.
+     */
+    private ObjectNode discriminated(Document in, ObjectNode schema, ObjectNode discriminator, String pointer) {
+        JsonNode property = discriminator.get("propertyName");
+        JsonNode alternatives = schema.get("oneOf") != null ? schema.get("oneOf") : schema.get("anyOf");
+        if (property == null || !property.isString() || alternatives == null || !alternatives.isArray()) {
+            return schema;
+        }
+        Map<String, String> targets = new LinkedHashMap<>();
+        Set<String> mapped = new HashSet<>();
+        if (discriminator.get("mapping") instanceof ObjectNode mapping) {
+            for (Map.Entry<String, JsonNode> entry : mapping.properties()) {
+                String to = entry.getValue().asString("");
+                String reference = to.matches("[A-Za-z0-9._-]+") && !documents.containsKey(to)
+                    ? "#/components/schemas/" + to : to;
+                targets.put(entry.getKey(), target(in, reference, pointer + "/mapping/" + Json.step(entry.getKey())));
+                mapped.add(targets.get(entry.getKey()));
+            }
+        }
+        for (JsonNode alternative : alternatives) {
+            JsonNode to = alternative.isObject() ? alternative.get("$ref") : null;
+            if (to != null && to.isString() && !mapped.contains(to.stringValue())) {
+                String text = to.stringValue();
+                targets.putIfAbsent(text.substring(text.lastIndexOf('/') + 1), text);
+            }
+        }
+        JsonNodeFactory nodes = JsonNodeFactory.instance;
+        ArrayNode all = schema.get("allOf") instanceof ArrayNode own ? own.deepCopy() : nodes.arrayNode();
+        String name = property.stringValue();
+        all.add(chooses(name, targets.keySet()));
+        targets.forEach((value, target) -> {
+            ObjectNode either = nodes.objectNode();
+            either.putArray("anyOf").add(nodes.objectNode().set("not", chooses(name, Set.of(value))))
+                .add(nodes.objectNode().put("$ref", target));
+            all.add(either);
+        });
+        schema.remove("discriminator");
+        schema.set("allOf", all);
+        return schema;
+    }
+
+    private static ObjectNode chooses(String name, Set<String> values) {
+        ObjectNode schema = JsonNodeFactory.instance.objectNode();
+        schema.putArray("required").add(name);
+        ArrayNode list = schema.putObject("properties").putObject(name).putArray("enum");
+        values.forEach(list::add);
+        return schema;
     }
 
     private static ObjectNode shallow(ObjectNode object) {
@@ -169,9 +221,9 @@
                 List<String> steps = steps(target);
                 at = steps == null ? null : Json.at(root, steps);
                 if (at == null) {
-                    problems.add(problem(reference.getKey(), "$ref leads nowhere: " + Fault.echo(target)));
+                    problems.add(problem(reference.getKey() + "/$ref", "$ref leads nowhere: " + Fault.echo(target)));
                 } else if (!seen.add(target) || seen.size() > MAX_CHAIN) {
-                    problems.add(problem(reference.getKey(), "$ref leads back to itself"));
+                    problems.add(problem(reference.getKey() + "/$ref", "$ref leads back to itself"));
                     at = null;
                 } else {
                     target = at.isObject() && at.get("$ref") != null && at.get("$ref").isString()
--- a/src/main/java/badgermux/contract/Compiler.java
+++ b/src/main/java/badgermux/contract/Compiler.java
@@ -17,10 +17,10 @@
     final Schemas schemas;
     private final List<Problem> problems = new ArrayList<>();
 
-    Compiler(Description description, Bundle bundle, Dialect dialect) {
+    Compiler(Description description, Bundle bundle, Dialect dialect, boolean wholeFractions) {
         this.description = description;
         this.bundle = bundle;
-        schemas = new Schemas(bundle, dialect);
+        schemas = new Schemas(bundle, dialect, wholeFractions);
     }
 
     final void read() throws DescriptionException {
--- a/src/main/java/badgermux/contract/Flow.java
+++ b/src/main/java/badgermux/contract/Flow.java
@@ -69,7 +69,7 @@
         int number = 0;
         int from = 0;
         for (int i = 0; i <= body.length; i++) {
-            if (i == body.length || body[i] == '\n') {
+            if (i == body.length ? from < i : body[i] == '\n') {
                 int end = i > from && body[i - 1] == '\r' ? i - 1 : i;
                 byte[] line = java.util.Arrays.copyOfRange(body, from, end);
                 from = i + 1;
--- a/src/main/java/badgermux/contract/OpenApi.java
+++ b/src/main/java/badgermux/contract/OpenApi.java
@@ -22,7 +22,7 @@
     private final boolean old;
 
     OpenApi(Description description, Bundle bundle, boolean old) {
-        super(description, bundle, old ? Dialects.getOpenApi30() : Dialects.getOpenApi31());
+        super(description, bundle, old ? Dialects.getOpenApi30() : Dialects.getOpenApi31(), !old);
         this.old = old;
     }
 
@@ -207,7 +207,10 @@
             warn(pointer, "bodies of " + media + " are passed on without being judged");
         }
         if (schema == null || !judged || media.isLines()) {
-            return new BodyRule(null, Shape.of(bundle, at), Map.of());
+            return new BodyRule(null, Shape.ANY, Map.of());
+        }
+        if (media.isJson()) {
+            return new BodyRule(schema(at), Shape.ANY, Map.of());
         }
         Map<String, Parameter> fields = new HashMap<>();
         for (Map.Entry<String, JsonNode> field : members(pointer + "/encoding")) {
--- a/src/main/java/badgermux/contract/Schemas.java
+++ b/src/main/java/badgermux/contract/Schemas.java
@@ -7,7 +7,6 @@
 import com.networknt.schema.ExecutionConfig;
 import com.networknt.schema.ExecutionContext;
 import com.networknt.schema.Schema;
-import com.networknt.schema.SchemaException;
 import com.networknt.schema.SchemaLocation;
 import com.networknt.schema.SchemaRegistry;
 import com.networknt.schema.SchemaRegistryConfig;
@@ -94,15 +93,17 @@
     private final Map<Way, ExecutionConfig> few = new HashMap<>();
     private final Map<Way, ExecutionConfig> most = new HashMap<>();
 
-    Schemas(Bundle bundle, Dialect dialect) {
+    /** {@code wholeFractions}: whether 1.0 is an integer, as it is since draft 6 of JSON Schema. */
+    Schemas(Bundle bundle, Dialect dialect, boolean wholeFractions) {
         this.bundle = bundle;
         SchemaRegistryConfig config = SchemaRegistryConfig.builder().formatAssertionsEnabled(true).preloadSchema(false)
-            .cacheRefs(true).locale(Locale.ROOT).pathType(PathType.JSON_POINTER)
+            .cacheRefs(true).losslessNarrowing(wholeFractions).locale(Locale.ROOT).pathType(PathType.JSON_POINTER)
             .messageSource((key, fallback, locale, arguments) -> "")
             .regularExpressionFactory(Schemas::pattern).build();
         // What a schema does not know, such as the description's own parts and extensions, has no say in it.
         Dialect quiet = Dialect.builder(dialect)
-            .unknownKeywordFactory((keyword, context) -> new NonValidationKeyword(keyword)).build();
+            .unknownKeywordFactory((keyword, context) -> new NonValidationKeyword(keyword)).formats(Formats.all())
+            .build();
         SchemaRegistry registry = SchemaRegistry.withDefaultDialect(quiet, builder -> builder
             .schemaRegistryConfig(config)
             .schemaLoader(loader -> loader.resourceLoaders(loaders -> loaders.values(List::clear))));
@@ -148,13 +149,14 @@
             return made;
         } catch (TooCostly e) {
             throw new DescriptionException(bundle.problem(pointer, "the schema refers to itself without an end"));
-        } catch (BadPattern e) {
-            throw new DescriptionException(bundle.problem(e.find(bundle, pointer), e.getMessage()));
-        } catch (SchemaException e) {
+        } catch (RuntimeException e) {
+            for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+                if (cause instanceof BadPattern bad) {
+                    throw new DescriptionException(bundle.problem(bad.find(bundle, pointer), bad.getMessage()));
+                }
+            }
             throw new DescriptionException(bundle.problem(pointer, "the schema can't be used: "
                 + String.valueOf(e.getMessage()).lines().findFirst().orElse("")));
-        } catch (RuntimeException e) {
-            throw new DescriptionException(bundle.problem(pointer, "the schema can't be used: " + e));
         } catch (StackOverflowError e) {
             throw new DescriptionException(bundle.problem(pointer, "the schema is nested too deep"));
         }
--- a/src/main/java/badgermux/contract/Shape.java
+++ b/src/main/java/badgermux/contract/Shape.java
@@ -17,25 +17,29 @@
     /** The types of JSON Schema. */
     enum Type { NULL, BOOLEAN, INTEGER, NUMBER, STRING, ARRAY, OBJECT }
 
-    private static final int MAX_DEPTH = 8;
+    /** Text holds values in values in a value at the most, and schemas that are joined may be joined themselves. */
+    private static final int MAX_NESTING = 2, MAX_JOINED = 8;
 
     private final Set<Type> types = EnumSet.noneOf(Type.class);
     private final Map<String, Shape> members = new HashMap<>();
     private Shape items;
     private Shape others;
 
+    /** Text of which nothing more is known. */
+    static final Shape ANY = new Shape();
+
     private Shape() { }
 
     static Shape of(Bundle bundle, String pointer) {
         Shape shape = new Shape();
-        shape.add(bundle, pointer, 0);
+        shape.add(bundle, pointer, 0, 0);
         return shape;
     }
 
-    private void add(Bundle bundle, String pointer, int depth) {
+    private void add(Bundle bundle, String pointer, int nested, int joined) {
         String at = bundle.resolve(pointer);
         JsonNode schema = bundle.at(at);
-        if (schema == null || !schema.isObject() || depth > MAX_DEPTH) {
+        if (schema == null || !schema.isObject() || nested > MAX_NESTING || joined > MAX_JOINED) {
             return;
         }
         JsonNode type = schema.get("type");
@@ -61,23 +65,23 @@
             }
             for (String name : schema.get("properties").propertyNames()) {
                 members.computeIfAbsent(name, n -> new Shape())
-                    .add(bundle, at + "/properties/" + Json.step(name), depth + 1);
+                    .add(bundle, at + "/properties/" + Json.step(name), nested + 1, joined);
             }
         }
         if (schema.has("additionalProperties") && schema.get("additionalProperties").isObject()) {
             others = others == null ? new Shape() : others;
-            others.add(bundle, at + "/additionalProperties", depth + 1);
+            others.add(bundle, at + "/additionalProperties", nested + 1, joined);
         }
         if (schema.has("items")) {
             if (type == null) {
                 types.add(Type.ARRAY);
             }
             items = items == null ? new Shape() : items;
-            items.add(bundle, at + "/items", depth + 1);
+            items.add(bundle, at + "/items", nested + 1, joined);
         }
         for (String branch : List.of("allOf", "anyOf", "oneOf")) {
             for (int i = 0; schema.has(branch) && i < schema.get(branch).size(); i++) {
-                add(bundle, at + '/' + branch + '/' + i, depth + 1);
+                add(bundle, at + '/' + branch + '/' + i, nested, joined + 1);
             }
         }
     }
--- a/src/test/java/badgermux/it/Client.java
+++ b/src/test/java/badgermux/it/Client.java
@@ -15,7 +15,7 @@
         }
     }
 
-    private static int ids;
+    private static final java.util.concurrent.atomic.AtomicInteger IDS = new java.util.concurrent.atomic.AtomicInteger();
     private final Socket socket;
 
     Client(int port) throws IOException {
@@ -32,7 +32,7 @@
 
     /** A new id, as clients form them. */
     static String id() {
-        return String.format("%016x", 0x9b1f03aa5c7e0000L + ++ids);
+        return String.format("%016x", 0x9b1f03aa5c7e0000L + IDS.incrementAndGet());
     }
 
     Client send(String text) throws IOException {
@@ -53,10 +53,24 @@
         return send(req(path, "5000m", "", "b")).read();
     }
 
+    /** An admin call; {@code headers} are whole lines. */
+    Answer call(String method, String path, String headers, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        socket.getOutputStream().write((method + ' ' + path + " HTTP/1.1\r\nHost: x\r\n" + headers + "Content-Length: "
+            + bytes.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().write(bytes);
+        return read();
+    }
+
     Answer get(String path) throws IOException {
         return send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").read();
     }
 
+    /** How many bytes have come that nobody has read. */
+    int unread() throws IOException {
+        return socket.getInputStream().available();
+    }
+
     /** Whether the other side has closed, with nothing before. */
     boolean isEnded() throws IOException {
         return socket.getInputStream().read() < 0;
--- a/src/test/java/badgermux/it/Program.java
+++ b/src/test/java/badgermux/it/Program.java
@@ -29,6 +29,7 @@
     private final BufferedReader log;
     private final Path config;
     private int port;
+    private int adminPort;
 
     /** Starts it in a folder; {@code members} are the backends that it knows from before. */
     Program(Path folder, String members) throws IOException {
@@ -39,14 +40,38 @@
         this(Files.writeString(folder.resolve("config.json"), "{\"name\":\"n\",\"seed\":\"1f\",\"limits\":{\"sockets\":"
             + sockets + ",\"memory_mb\":96},\"known\":{\"revision\":1,\"complete\":true,\"members\":[" + members
             + "]},\"settings\":" + settings + "}"));
-        String line = log.readLine();
-        while (line != null && port == 0) {
+        awaitPort();
+    }
+
+    /** Starts it with an admin API, whose options follow {@code serve}. */
+    Program(Path folder, String members, String options) throws IOException {
+        this(command() + " --admin 127.0.0.1:0 " + options, config(folder, members));
+        awaitPort();
+    }
+
+    private static Path config(Path folder, String members) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n\",\"seed\":\"1f\",\"limits\":{\"sockets\":"
+            + "1024,\"memory_mb\":192},\"known\":{\"revision\":1,\"complete\":true,\"members\":[" + members
+            + "]},\"settings\":" + SETTINGS + "}");
+    }
+
+    private void awaitPort() throws IOException {
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
             Matcher matcher = PORT.matcher(line);
-            port = matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
-            line = port == 0 ? log.readLine() : line;
+            if (matcher.find() && line.contains("admin API")) {
+                adminPort = Integer.parseInt(matcher.group(1));
+            } else if (matcher.find(0)) {
+                port = Integer.parseInt(matcher.group(1));
+                return;
+            }
         }
     }
 
+    /** An operator's connection. */
+    Client admin() throws IOException {
+        return new Client(adminPort);
+    }
+
     /** Starts it on a configuration that may be faulty. */
     Program(Path config) throws IOException {
         this(command(), config);
