Zones: verdicts by evidence, bounded spill and staged returns, in a model of the fleet

Change: Dispatch.Zones is what the module asks before a send; badgermux.zone decides it from what one dispatcher sees (evidence per node, correlated; whole, degraded, dark, returning; spill bound with trunk reservation; stages; lengthening holds; cold by first sign of life; a guard against bad lists, off by default).

--- /dev/null
+++ b/src/lab/java/badgermux/lab/Policies.java
@@ -0,0 +1,193 @@
+package badgermux.lab;
+
+import badgermux.decide.Dispatch;
+import badgermux.zone.ZonePolicy;
+import badgermux.zone.ZoneSettings;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** The policies that are compared, each the real module with other limits. */
+final class Policies {
+    private Policies() { }
+
+    /** By name: zones, and what they are measured against. */
+    static Map<String, BiFunction<Dispatch.Settings, UniformRandomProvider, Dispatch.Zones>> all(int zones) {
+        Map<String, BiFunction<Dispatch.Settings, UniformRandomProvider, Dispatch.Zones>> all = new LinkedHashMap<>();
+        all.put("zones", (s, random) -> new ZonePolicy(settings(s, zones)));
+        all.put("off", (s, random) -> null);
+        all.put("list failover", (s, random) -> new ListFailover(s.zone, zones));
+        all.put("envoy-like", (s, random) -> new EnvoyLike(s.zone, zones, random));
+        return all;
+    }
+
+    static ZoneSettings settings(Dispatch.Settings s, int zones) {
+        ZoneSettings z = new ZoneSettings();
+        for (int i = 0; i < zones; i++) {
+            z.zones.add("z" + i);
+        }
+        z.own = s.zone;
+        z.dispatchers = s.dispatchers;
+        z.index = s.index;
+        z.worths = s.classes.stream().mapToDouble(Dispatch.JobClass::worth).toArray();
+        z.coldFor = s.coldFor;
+        z.spillShare = Double.parseDouble(System.getProperty("spillShare", String.valueOf(z.spillShare)));
+        z.spillLeaves = Double.parseDouble(System.getProperty("spillLeaves", String.valueOf(z.spillLeaves)));
+        z.spillReserve = Double.parseDouble(System.getProperty("spillReserve", String.valueOf(z.spillReserve)));
+        return z;
+    }
+
+    /** No limits at all; what others build on. */
+    private abstract static class Plain implements Dispatch.Zones {
+        final int own;
+        final int zones;
+        final Map<Long, Integer> ready = new HashMap<>();
+        final int[] readyByZone;
+
+        Plain(int own, int zones) {
+            this.own = own;
+            this.zones = zones;
+            readyByZone = new int[zones];
+        }
+
+        @Override public void listed(long now, Dispatch.ListUpdate update, List<Dispatch.Worker> workers) {
+            for (Dispatch.Worker worker : workers) {
+                boolean is = worker.state() == Dispatch.WorkerState.READY;
+                boolean was = ready.containsKey(worker.id());
+                if (is && !was) {
+                    ready.put(worker.id(), worker.zone());
+                    readyByZone[worker.zone()]++;
+                } else if (!is && was) {
+                    ready.remove(worker.id());
+                    readyByZone[worker.zone()]--;
+                }
+            }
+        }
+
+        @Override public long startedAt(Dispatch.Worker worker) {
+            return worker.startedAt();
+        }
+
+        @Override public boolean givesUp(long now, Dispatch.Job job) {
+            return false;
+        }
+
+        @Override public void sent(long now, Dispatch.Job job, int attempt, Dispatch.Worker worker, double work) { }
+
+        @Override public void ended(long now, Dispatch.Job job, int attempt, Dispatch.Worker worker,
+                Dispatch.Outcome outcome, double ran) { }
+
+        @Override public void alive(long now, long worker) { }
+
+        @Override public void late(long now, long worker) { }
+
+        @Override public void probed(long now, long worker, boolean answered, double slots) { }
+
+        @Override public List<Long> round(long now) {
+            return List.of();
+        }
+
+        @Override public String news() {
+            return null;
+        }
+    }
+
+    /** The own zone while the list has a ready node there, then the others. */
+    private static final class ListFailover extends Plain {
+        ListFailover(int own, int zones) {
+            super(own, zones);
+        }
+
+        @Override public int tiers() {
+            return 2;
+        }
+
+        @Override public int tier(int jobClass, int zone) {
+            return zone == own ? 0 : 1;
+        }
+
+        @Override public boolean opens(long now, Dispatch.Job job, boolean repeatable, int tier) {
+            return (tier == 0) == (readyByZone[own] > 0);
+        }
+
+        @Override public boolean admits(long now, Dispatch.Job job, boolean repeatable, int attempts,
+                Dispatch.Worker worker, double load, int tier) {
+            return true;
+        }
+    }
+
+    /**
+     * As Envoy's documentation describes locality-weighted balancing: a zone of health h gets min(1, 1.4 h) of its own
+     * traffic and the rest goes to the others; hosts with five failures in a row are ejected for 30 s times the number of
+     * their ejections, at most 10% of them (at least one) at a time; under 50% of health in all, panic: all hosts are
+     * used.
+     */
+    private static final class EnvoyLike extends Plain {
+        private final Map<Long, int[]> failures = new HashMap<>();
+        private final Map<Long, Long> ejected = new HashMap<>();
+        private final UniformRandomProvider random;
+        private final Map<Long, Boolean> home = new HashMap<>();
+        private final int[] usual;
+
+        EnvoyLike(int own, int zones, UniformRandomProvider random) {
+            super(own, zones);
+            this.random = random;
+            usual = new int[zones];
+        }
+
+        private double health(int zone) {
+            usual[zone] = Math.max(usual[zone], readyByZone[zone]);
+            long out = ejected.keySet().stream().filter(id -> ready.getOrDefault(id, -1) == zone).count();
+            return usual[zone] == 0 ? 0 : (readyByZone[zone] - out) / (double) usual[zone];
+        }
+
+        @Override public int tiers() {
+            return 2;
+        }
+
+        @Override public int tier(int jobClass, int zone) {
+            return zone == own ? 0 : 1;
+        }
+
+        @Override public boolean opens(long now, Dispatch.Job job, boolean repeatable, int tier) {
+            boolean stays = home.computeIfAbsent(job.id(), id -> random.nextDouble() < 1.4 * health(own));
+            return stays == (tier == 0);
+        }
+
+        @Override public boolean admits(long now, Dispatch.Job job, boolean repeatable, int attempts,
+                Dispatch.Worker worker, double load, int tier) {
+            double healthy = 0;
+            for (int z = 0; z < zones; z++) {
+                healthy += health(z) / zones;
+            }
+            return healthy < 0.5 || !ejected.containsKey(worker.id());
+        }
+
+        @Override public void ended(long now, Dispatch.Job job, int attempt, Dispatch.Worker worker,
+                Dispatch.Outcome outcome, double ran) {
+            if (outcome == Dispatch.Outcome.CANCELLED || outcome == Dispatch.Outcome.MOOT) {
+                return;
+            }
+            int[] state = failures.computeIfAbsent(worker.id(), id -> new int[2]);
+            state[0] = outcome == Dispatch.Outcome.SERVED || outcome == Dispatch.Outcome.REJECTED ? 0 : state[0] + 1;
+            if (state[0] >= 5 && !ejected.containsKey(worker.id())
+                    && ejected.size() < Math.max(1, ready.size() / 10)) {
+                state[1]++;
+                state[0] = 0;
+                ejected.put(worker.id(), now + 30_000_000L * state[1]);
+            }
+        }
+
+        @Override public List<Long> round(long now) {
+            ejected.values().removeIf(until -> until <= now);
+            if (home.size() > 100_000) {
+                home.clear();
+            }
+            return List.of();
+        }
+    }
+
+}
--- /dev/null
+++ b/src/lab/java/badgermux/lab/Scenario.java
@@ -0,0 +1,55 @@
+package badgermux.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a run consists of. Spans are in seconds. */
+final class Scenario {
+    /** A zone's nodes: gone at {@code from}, started anew, cold, at {@code to}. */
+    record Loss(int zone, double from, double to) { }
+
+    String name = "loss";
+    int zones = 2;
+    int nodesPerZone = 7;
+    int dispatchersPerZone = 2;
+    /** Work that comes, against what the nodes of all zones but one can do. */
+    double load = 1.0;
+    double length = 80;
+    final List<Loss> losses = new ArrayList<>();
+    /** Whether lost nodes fall silent (a cut cable, a dark hall) or refuse connections (dead processes). */
+    boolean silent = true;
+    /** The dispatcher of this number starts anew at this time; -1 for none. */
+    int restarted = -1;
+    double restartAt;
+    /** How late the list is, at least and at most. */
+    double listLeast = 1;
+    double listMost = 14;
+
+    Scenario named(String to) {
+        name = to;
+        return this;
+    }
+
+    Scenario lose(int zone, double from, double to) {
+        losses.add(new Loss(zone, from, to));
+        return this;
+    }
+
+    Scenario load(double to) {
+        load = to;
+        return this;
+    }
+
+    Scenario size(int ofZones, int nodes, int dispatchers) {
+        zones = ofZones;
+        nodesPerZone = nodes;
+        dispatchersPerZone = dispatchers;
+        return this;
+    }
+
+    Scenario restart(int dispatcher, double at) {
+        restarted = dispatcher;
+        restartAt = at;
+        return this;
+    }
+}
--- a/src/main/java/badgermux/Operators.java
+++ b/src/main/java/badgermux/Operators.java
@@ -5,11 +5,14 @@
 import badgermux.config.ConfigException;
 import badgermux.core.Deadlines;
 import badgermux.front.Gate;
+import badgermux.decide.Dispatch;
 import badgermux.gate.ContractResource;
+import badgermux.gate.ZoneResource;
 import badgermux.http.Address;
 import badgermux.metrics.Metrics;
 import badgermux.operator.SnapshotException;
 import badgermux.operator.SnapshotStore;
+import badgermux.zone.ZonePolicy;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
@@ -17,9 +20,11 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
+import java.util.function.LongSupplier;
 import org.tinylog.Logger;
 
 /** Joins what operators set: the snapshot, the admin API and the subsystems behind it. A plain start has none of it. */
@@ -30,10 +35,11 @@
     private final String token;
     private final EventLoopGroup loop;
     private final ContractResource contracts;
+    private final ZoneResource zones;
     private AdminServer server;
 
     /** Reads the options and the snapshot; what can't be used ends the start. */
-    Operators(ServeOptions options, EventLoopGroup loop) throws ConfigException {
+    Operators(ServeOptions options, EventLoopGroup loop, LongSupplier clock) throws ConfigException {
         this.loop = loop;
         at = options.admin() == null ? null : Address.parse(options.admin());
         if (options.admin() != null && at == null) {
@@ -45,7 +51,8 @@
         }
         try {
             SnapshotStore store = SnapshotStore.open(options.snapshot() == null ? null : Path.of(options.snapshot()),
-                Set.of(ContractResource.SECTION));
+                Set.of(ContractResource.SECTION, ZoneResource.SECTION));
+            zones = new ZoneResource(store, loop, clock);
             contracts = deep(() -> new ContractResource(store, loop));
         } catch (SnapshotException e) {
             throw new ConfigException("--snapshot: " + e.getMessage());
@@ -87,6 +94,15 @@
         }
     }
 
+    /** What limits the module by zones; null where nothing is set. */
+    ZonePolicy zones(List<String> names, Dispatch.Settings settings) throws ConfigException {
+        try {
+            return zones.policy(names, settings);
+        } catch (SnapshotException e) {
+            throw new ConfigException("--snapshot: " + e.getMessage());
+        }
+    }
+
     Gate gate(Metrics metrics) {
         return contracts.gate(loop, metrics);
     }
@@ -98,6 +114,7 @@
         }
         server = new AdminServer(loop, deadlines, metrics, token);
         server.add(ContractResource.SECTION, contracts);
+        server.add(ZoneResource.SECTION, zones);
         ChannelFuture bound = server.listen(at);
         bound.addListener(done -> {
             if (done.isSuccess()) {
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -14,6 +14,7 @@
 import badgermux.http.Relay;
 import badgermux.metrics.Metrics;
 import badgermux.metrics.Metrics.Count;
+import badgermux.zone.ZonePolicy;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -65,9 +66,10 @@
         // First of all: SIGHUP ends a process that says nothing of it.
         Hangup.handle(this::reload);
         Config config = Config.read(environment);
-        operators = options == null ? null : new Operators(options, loop);
+        operators = options == null ? null : new Operators(options, loop, clock::now);
+        ZonePolicy zones = operators == null ? null : operators.zones(config.zones(), config.settings());
         try {
-            ChannelFuture bound = loop.submit(() -> start(config)).get().await();
+            ChannelFuture bound = loop.submit(() -> start(config, zones)).get().await();
             if (!bound.isSuccess()) {
                 throw new ConfigException("GW_LISTEN (listen) can't be bound: " + bound.cause().getMessage());
             }
@@ -80,7 +82,7 @@
         quiet.await();
     }
 
-    private ChannelFuture start(Config config) {
+    private ChannelFuture start(Config config, ZonePolicy zones) {
         Dispatch.Settings settings = config.settings();
         // Clients with reqs hold a third at most, and each open req may need a backend: the rest leads there.
         int clients = config.sockets() / 3 + config.sockets() / 32;
@@ -90,10 +92,10 @@
         Backends backends = new Backends(loop, deadlines, clock::now, metrics, engine, config.connectTimeout(),
             settings.connectionIdle, toBackends, settings.reports == Dispatch.ReportMode.ON_PROBE);
         director = new Director(loop, deadlines, clock, metrics, engine, backends, config.director(),
-            config.known(), config.zones(), config.kinds());
+            config.known(), config.zones(), config.kinds(), zones == null ? null : zones::guard);
         front = new Front(clock::now, deadlines, metrics, engine, settings, director::isListed, clients, overCap,
             ((long) config.memoryMb() << 20) / HELD_PART, operators == null ? null : operators.gate(metrics));
-        engine.join(new Dispatcher(settings, config.seed(), engine), backends, director::watch);
+        engine.join(new Dispatcher(settings, config.seed(), engine, zones), backends, director::watch);
         director.start();
         if (operators != null) {
             operators.listen(deadlines, metrics);
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -68,12 +68,13 @@
         JobClass type;
         long deadline, latest, draw;
         boolean over, streaming, overShare, stuck;
-        int awaited;
+        int awaited, tier;
         final List<Attempt> attempts = new ArrayList<>(2);
     }
 
     private final Settings s;
     private final Actions act;
+    private final Zones zones;  // null where zones are all one
     private final SplittableRandom random;
     private final boolean asks, listens;    // workers are probed; answers alone tell, connections are free
     private final double tie, patience;
@@ -88,6 +89,12 @@
     private int nextToken, logged, lists, doubt;
 
     public Dispatcher(Settings settings, long seed, Actions actions) {
+        this(settings, seed, actions, null);
+    }
+
+    /** The same, held to what {@code zones} allow; null for no limits. */
+    public Dispatcher(Settings settings, long seed, Actions actions, Zones zones) {
+        this.zones = zones;
         s = settings.checked();
         act = Objects.requireNonNull(actions, "actions");
         random = new SplittableRandom(seed);
@@ -122,6 +129,7 @@
         watchDelay = update == ListUpdate.FAILED ? Math.min(2 * watchDelay, s.askEvery / 4) : FIRST_REST / 2;
         if (update == ListUpdate.FAILED) watchAgain();
         else takeList(update, list);
+        if (zones != null) zones.listed(now, update, list);
         sendHeld();
     }
 
@@ -154,6 +162,7 @@
         runningSlots += a.request.job.slots();
         stuck(a.request, false);
         wellDone(a.server);
+        if (zones != null) zones.alive(now, a.server.info.id());
         // The first copy to start wins: one that still waits costs no work yet.
         a.request.attempts.stream().filter(other -> other.startedAt < 0).forEach(this::cancel);
     }
@@ -192,6 +201,7 @@
         Server w = servers.get(worker);
         if (w == null) return;
         takeReport(w, answered ? report : null);
+        if (zones != null) zones.probed(now, worker, answered, w.cap);
         w.asking.forEach(r -> heard(r, 1));
         w.asking.clear();
     }
@@ -219,6 +229,10 @@
         // Our part of traffic and quotas, by the work that comes; overload says nothing of it.
         if (held.isEmpty() && used >= 1 && slotRun > 0) part += NEW / 5 * (asked / ROUND / used - part);
         asked = 0;
+        if (zones != null) {
+            zones.round(now).forEach(id -> { if (s.probes) act.probe(id); });
+            for (String line = zones.news(); line != null; line = zones.news()) act.log(line);
+        }
         keepAlive = Math.min(s.connectionIdle, keepAlive + keepAlive / 100 + 1);
         held.removeIf(this::done);
         Arrays.setAll(credit, t -> Math.min(credit[t] + quota(t) * ROUND / 1e6,
@@ -245,7 +259,7 @@
 
     /** A group drawn at random, or the next one round that holds a worker for this job; weighed. */
     private Drawn usable(Request r, int start, Drawn not, int leniency) {
-        List<List<Server>> groups = groupsByClass.get(r.job.jobClass());
+        List<List<Server>> groups = groupsByClass.get(r.job.jobClass() * tiers() + r.tier);
         for (int i = 0; i < groups.size(); i++) {
             List<Server> group = groups.get(Math.floorMod(start + i, groups.size()));
             Drawn drawn = not != null && group == not.group ? null : weigh(group, r, leniency);
@@ -261,6 +275,7 @@
         for (Server w : group) {
             if (!eligible(w, r, leniency) || silent(w, r) && leniency < 1) continue;
             double load = load(w);
+            if (zones != null && !admits(w, r, load)) continue;
             sum += load;
             counted++;
             if (lightest == null || (Math.abs(load - least) < tie(w) ? beats(w, lightest) : load < least)) {
@@ -355,6 +370,7 @@
     private void proceed(Request r) {
         r.draw = random.nextLong();
         r.awaited = 1;
+        while (zones != null && r.tier + 1 < tiers() && !opens(r)) r.tier++;
         if (asks && !hopeless(r)) place(r, false);
         if (r.awaited > 1) after((long) patience, () -> heard(r, r.awaited));
         heard(r, 1);
@@ -380,12 +396,40 @@
         return r.attempts.isEmpty() && now > r.latest;
     }
 
+    /** Tier by tier: one is looked through only where those before it have nobody who may take the job. */
     private boolean sendNow(Request r) {
-        Drawn drawn = hopeless(r) ? null : place(r, false);
-        boolean goes = drawn != null && mayGo(r, drawn);
-        if (goes) send(r, drawn.pick);
-        else r.draw = random.nextLong();
-        return goes;
+        boolean some = false;
+        // Guards against a lost zone's suspects tried one after another while the next tier is well.
+        for (int pass = tiers() > 1 ? 0 : 1; pass < 2; pass++) {
+            for (r.tier = 0; r.tier < tiers() && !hopeless(r); r.tier++) {
+                Drawn drawn = opens(r) ? place(r, pass == 0) : null;
+                some |= drawn != null;
+                if (drawn != null && mayGo(r, drawn)) {
+                    send(r, drawn.pick);
+                    return true;
+                }
+            }
+        }
+        r.tier = 0;
+        r.draw = random.nextLong();
+        // A job beyond what other zones may be burdened with is told so at once, and not held.
+        return !some && zones != null && zones.givesUp(now, r.job) && giveUp(r);
+    }
+
+    private int tiers() {
+        return zones == null ? 1 : zones.tiers();
+    }
+
+    private boolean opens(Request r) {
+        return zones == null || zones.opens(now, r.job, repeatable(r), r.tier);
+    }
+
+    private boolean admits(Server w, Request r, double load) {
+        return zones.admits(now, r.job, repeatable(r), r.attempts.size(), w.info, load, r.tier);
+    }
+
+    private static boolean repeatable(Request r) {
+        return r.type.effect() == Effect.REPEATABLE;
     }
 
     /** Tries the first few held jobs (most worth, then most slack, as of the last round) while any goes. */
@@ -407,6 +451,8 @@
         a.roomy = load(w) + r.job.slots() <= TIE;
         w.out.add(a);
         if (cold(w)) w.coldSends.add(a);
+        double work = Math.max(slotRun / 4, expectedRun(r)) * r.job.slots() / 1e6;
+        if (zones != null) zones.sent(now, r.job, r.attempts.size() - 1, w.info, work);
         act.send(r.job.id(), w.info.id());
         if (s.cancels && !r.type.stream()) after(startWait(r), () -> checkOn(a));
     }
@@ -420,6 +466,7 @@
         boolean swallowed = asks && waits && a.roomy && a.idle > 0;
         if (swallowed && ++doubt > 1) keepAlive = Math.min(keepAlive, a.idle / 2);
         if (waits && !swallowed) stuck(r, true);
+        if (waits && a.roomy && zones != null) zones.late(now, a.server.info.id());
         // Guards against queues full of late jobs: they make room, if an even chance of one in time gains.
         boolean gain = r.type.effect() == Effect.REPEATABLE && r.type.lateShare() < 1.0 / 3;
         if (waits && gain && now > r.latest && giveUp(r)) return;
@@ -458,6 +505,9 @@
 
     private void end(Attempt a, Outcome outcome, boolean room) {
         a.outcome = outcome;
+        double ran = a.startedAt >= 0 ? (now - a.startedAt) * a.request.job.slots() / 1e6 : 0;
+        int number = a.request.attempts.indexOf(a);
+        if (zones != null) zones.ended(now, a.request.job, number, a.server.info, outcome, ran);
         outSlots -= a.request.job.slots();
         runningSlots -= a.startedAt >= 0 ? a.request.job.slots() : 0;
         if (outcome == Outcome.TIMED_OUT) return;   // its slots count until the next report: see takeReport
@@ -639,7 +689,11 @@
     // ---- Cold workers (rule 4): a budget of work over any window, split over the dispatchers
 
     private boolean cold(Server w) {
-        return w.info.startedAt() > 0 && now - w.info.startedAt() < s.coldFor;
+        return startedAt(w) > 0 && now - startedAt(w) < s.coldFor;
+    }
+
+    private long startedAt(Server w) {
+        return zones == null ? w.info.startedAt() : zones.startedAt(w.info);
     }
 
     private boolean withinColdBudget(Server w, Request r) {
@@ -648,7 +702,7 @@
         if (now - bornAt < s.fallWindow || job <= 0) return false;
         w.coldSends.removeIf(a -> a.sentAt <= now - s.fallWindow);
         for (Attempt a : w.coldSends) sent += expectedRun(a.request) * a.request.job.slots();
-        double age = Math.max(0, now - w.info.startedAt()) / (double) s.coldFor;
+        double age = Math.max(0, now - startedAt(w)) / (double) s.coldFor;
         double capacity = Math.max(1, slots(w)) * (s.coldShare + (1 - s.coldShare) * age);
         // Guards against even parts that hold no job: all sent what we did, those before us in turn one more.
         long turn = s.index + (1 + (long) (age * s.coldFor / s.fallWindow)) * Long.hashCode(w.info.id());
@@ -678,10 +732,12 @@
         servers.values().forEach(w -> ready[w.info.kind()] += w.state == WorkerState.READY ? 1 : 0);
         groupsByClass.clear();
         // Guards against a class sent where it may not run: no attempt of it is drawn from anywhere else.
-        for (JobClass type : s.classes) {
-            List<Server> pool = servers.values().stream().filter(w -> type.mayRunOn(w.info)).toList();
+        for (int i = 0; i < s.classes.size() * tiers(); i++) {
+            int c = i / tiers(), tier = i % tiers();
+            List<Server> pool = servers.values().stream().filter(w -> s.classes.get(c).mayRunOn(w.info)
+                && (zones == null || zones.tier(c, w.info.zone()) == tier)).toList();
             groupsByClass.add(IntStream.range(0, (pool.size() + GROUP - 1) / GROUP)
-                .mapToObj(i -> pool.subList(i * GROUP, Math.min((i + 1) * GROUP, pool.size()))).toList());
+                .mapToObj(g -> pool.subList(g * GROUP, Math.min((g + 1) * GROUP, pool.size()))).toList());
         }
     }
 
--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -30,6 +30,13 @@
 
 /** Watches the director's list: one call after another, each from the version that the last one brought. */
 public final class Director {
+    /** Says what of a list is believed. */
+    public interface Guard {
+        /** The entries to go by; {@code before} are those last told that have not left since. */
+        List<Dispatch.Worker> believed(long now, ListUpdate update, List<Dispatch.Worker> list,
+            Map<Long, Dispatch.Worker> before);
+    }
+
     /** How long a watch call asks the director to wait for news, and how much longer its answer is waited for. */
     private static final long WAIT = 5_000_000, GRACE = 1_900_000;
     private static final int MAX_LIST = 4 << 20;
@@ -46,6 +53,8 @@
     private final List<String> zones;
     private final List<String> kinds;
     private final ListDecoder.Listing known;
+    private final Guard guard;
+    private final Map<Long, Dispatch.Worker> before = new HashMap<>();
     private InetSocketAddress address;
     private final Map<Long, String> names = new HashMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
@@ -61,10 +70,11 @@
      * @param known the list as last held
      * @param zones the names of the zones, in the module's order
      * @param kinds the names of the kinds of backends, in the module's order
+     * @param guard says what of a list is believed; null for all of it
      */
     public Director(EventLoopGroup loop, Deadlines deadlines, Clock clock, Metrics metrics, Engine<?> engine,
             Backends backends, InetSocketAddress at, ListDecoder.Listing known, List<String> zones,
-            List<String> kinds) {
+            List<String> kinds, Guard guard) {
         this.loop = loop;
         this.deadlines = deadlines;
         this.clock = clock;
@@ -74,6 +84,7 @@
         this.known = known;
         this.zones = zones;
         this.kinds = kinds;
+        this.guard = guard;
         address = at;
     }
 
@@ -147,7 +158,14 @@
     }
 
     /** The module hears of the news first; then who has left is forgotten here, so that the tables do not grow. */
-    private void tell(ListUpdate update, List<Dispatch.Worker> workers) {
+    private void tell(ListUpdate update, List<Dispatch.Worker> listed) {
+        List<Dispatch.Worker> workers = guard == null ? listed : guard.believed(clock.now(), update, listed, before);
+        if (guard != null) {
+            if (update != ListUpdate.DELTA) {
+                before.clear();
+            }
+            workers.forEach(worker -> before.put(worker.id(), worker));
+        }
         engine.workers(update, workers);
         Set<Long> gone = new HashSet<>(update == ListUpdate.DELTA ? Set.of() : names.keySet());
         for (Dispatch.Worker worker : workers) {
--- a/src/test/java/badgermux/it/Peer.java
+++ b/src/test/java/badgermux/it/Peer.java
@@ -79,7 +79,12 @@
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
 
     Peer() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this(0);
+    }
+
+    /** On a port of the test's choice; 0 for any. */
+    Peer(int port) throws IOException {
+        server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         thread(() -> {
             while (true) {
                 Socket socket = server.accept();
@@ -118,6 +123,10 @@
         }
     }
 
+    int port() {
+        return server.getLocalPort();
+    }
+
     String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
