Admin connections that end are read to their end at once

Cause: after an answer with a close, reading stayed off, so that the other side's end was not seen for a second; the ninth call within it was closed without an answer.

Change: reading goes on behind the last answer; a test makes 40 calls on connections of their own. The load measurement sets its large description from another process.

--- a/src/bench/java/badgermux/bench/Saturate.java
+++ b/src/bench/java/badgermux/bench/Saturate.java
@@ -93,9 +93,11 @@
         System.out.println("calm: " + latencies(with, 10_000, () -> { }));
         String big = BigDescription.text(1000, 13 << 20).replace("/preview/r", "/preview/big/r");
         long[] took = new long[1];
+        Path file = Files.writeString(Files.createTempFile("big", ".json"), big);
+        System.gc();
         System.out.println("while 13 MB are set and first used: " + latencies(with, 15_000, () -> {
             long from = System.nanoTime();
-            put(with, "big", big);
+            putApart(with, file);
             took[0] = System.nanoTime() - from;
             for (int i = 0; i < 20; i++) {
                 one(with, "/preview/big/r" + i * 37 + "/x", "{\"a\":1,\"next\":{\"a\":2,\"list\":[{\"a\":3}]}}");
@@ -114,7 +116,7 @@
         Path config = Files.createTempFile("saturate", ".json");
         Files.writeString(config, "{\"name\":\"n\",\"seed\":\"1f\",\"limits\":{\"sockets\":1024,\"memory_mb\":192},\"known\":{"
             + "\"revision\":1,\"complete\":true,\"members\":[" + members + "]},\"settings\":" + SETTINGS + "}");
-        List<String> command = new ArrayList<>(List.of("java", "-Xmx1g", "-XX:MaxGCPauseMillis=5", "-Xlog:gc:file=/tmp/gc%p.log", "-jar", jar, "serve"));
+        List<String> command = new ArrayList<>(List.of("java", "-Xmx1g", "-XX:MaxGCPauseMillis=5", "-jar", jar, "serve"));
         if (admin) {
             command.addAll(List.of("--admin", "127.0.0.1:0"));
         }
@@ -154,6 +156,19 @@
         }
     }
 
+    /** By a process of its own: this one's collections must not count. */
+    private static void putApart(Instance to, Path file) {
+        try {
+            int status = new ProcessBuilder("curl", "-sf", "-o", "/dev/null", "-T", file.toString(), "http://127.0.0.1:"
+                + to.adminPort + "/v1/contracts/big").start().waitFor();
+            if (status != 0) {
+                throw new IOException("curl ended with " + status);
+            }
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private void one(Instance to, String path, String body) {
         try {
             HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + to.port + path).toURL()
--- a/src/main/java/badgermux/admin/AdminConnection.java
+++ b/src/main/java/badgermux/admin/AdminConnection.java
@@ -103,6 +103,8 @@
             return;
         }
         ended = true;
+        // Guards against connections that count as open until their time is up: the other side's end is read at once.
+        channel.config().setAutoRead(true);
         pending.clear().capacity(0);
         // The other side is heard out for a moment, lest a reset eats the answer on its way.
         written.addListener(done -> channel.shutdownOutput()).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
--- a/src/test/java/badgermux/it/ContractIT.java
+++ b/src/test/java/badgermux/it/ContractIT.java
@@ -341,6 +341,12 @@
         }
     }
 
+    @Test void callsOnConnectionsOfTheirOwnFollowEachOtherAtOnce() throws IOException {
+        for (int i = 0; i < 40; i++) {
+            assertEquals(200, call("GET", "/v1/contracts", "Connection: close\r\n", "").status());
+        }
+    }
+
     @Test void theAdminApiAsksForItsToken() throws Exception {
         Path token = Files.writeString(folder.resolve("token"), "0123456789abcdef\n");
         try (Program other = new Program(folder, "", "--admin-token-file " + token)) {
