Operators' calls, figures and runners out by hand on a second address

Change: package console (HEALTH, DUMP, OFFLINE, ONLINE), a pure set of runners out in package hand that the list passes through, kept in TMPDIR by an empty file for each; endings counted by class in the engine and sends where the last byte is written; the module says which workers it avoids, and closes what a probe leaves idle at one that drains. Measured: OnCallIT, 11 cases on the real jar: each call and its errors, 100 holders, figures against the peers' ledgers, a ban over list changes and a kill.

--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -28,20 +28,23 @@
 
 /** Joins the parts of one real dispatcher on its event loop; rereads its configuration on SIGHUP, ends on SIGTERM. */
 final class Server {
-    /** Descriptors that are no connections of the front or to backends: files, the selector, the director, some over. */
-    private static final int SPARE_DESCRIPTORS = 48;
+    /** Descriptors that are no connections: files, the selector, the listeners, the director, some over. */
+    private static final int MOST_SPARE = 48, LEAST_SPARE = 24;
+    /** How many operators' calls may be open at once. */
+    private static final int MOST_CALLERS = 64, FEWEST_CALLERS = 12;
     /** The part of all memory that bodies may hold until their reqs are answered: 12 MB of 192. */
     private static final int HELD_PART = 16;
 
     private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Clock clock = new Clock();
-    private final Metrics metrics = new Metrics();
-    private final Deadlines deadlines = new Deadlines(clock::now, this::alarm, metrics);
     private final CountDownLatch started = new CountDownLatch(1);
     private final CountDownLatch quiet = new CountDownLatch(1);
     private final Map<String, String> environment;
     private final ServeOptions options;
+    private Metrics metrics;
+    private Deadlines deadlines;
     private Operators operators;
+    private OnCall onCall;
     private Future<?> alarm;
     private Front front;
     private Director director;
@@ -66,15 +69,21 @@
         // First of all: SIGHUP ends a process that says nothing of it.
         Hangup.handle(this::reload);
         Config config = Config.read(environment);
+        metrics = new Metrics(config.settings().classes.stream().map(Dispatch.JobClass::name).toList());
+        deadlines = new Deadlines(clock::now, this::alarm, metrics);
+        onCall = config.admin() == null ? null
+            : new OnCall(config.name(), config.settings().coldFor, environment.get("TMPDIR"), loop, clock);
         operators = options == null ? null : new Operators(options, loop, clock::now);
         ZonePolicy zones = operators == null ? null : operators.zones(config.zones(), config.settings());
         try {
-            ChannelFuture bound = loop.submit(() -> start(config, zones)).get().await();
-            if (!bound.isSuccess()) {
-                throw new ConfigException("GW_LISTEN (listen) can't be bound: " + bound.cause().getMessage());
+            await("GW_LISTEN (listen)", loop.submit(() -> start(config, zones)).get());
+            if (onCall != null) {
+                ChannelFuture bound = loop.submit(() -> onCall.listen(config.admin())).get();
+                await("GW_ADMIN (admin)", bound);
+                Logger.info("operators call on {}", bound.channel().localAddress());
             }
             Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
-            Logger.info("{} listens on {}", config.name(), bound.channel().localAddress());
+            Logger.info("{} listens on {}", config.name(), front.address());
         } catch (ExecutionException e) {
             throw new ConfigException("settings: " + e.getCause().getMessage());
         }
@@ -82,17 +91,26 @@
         quiet.await();
     }
 
+    private static void await(String what, ChannelFuture bound) throws ConfigException, InterruptedException {
+        if (!bound.await().isSuccess()) {
+            throw new ConfigException(what + " can't be bound: " + bound.cause().getMessage());
+        }
+    }
+
     private ChannelFuture start(Config config, ZonePolicy zones) {
         Dispatch.Settings settings = config.settings();
         // Clients with reqs hold a third at most, and each open req may need a backend: the rest leads there.
         int clients = config.sockets() / 3 + config.sockets() / 32;
         int overCap = Math.min(64, config.sockets() / 8);
-        int toBackends = config.sockets() - SPARE_DESCRIPTORS - clients - overCap;
+        int callers = onCall == null ? 0 : Math.max(FEWEST_CALLERS, Math.min(MOST_CALLERS, config.sockets() / 16));
+        int spare = Math.max(LEAST_SPARE, Math.min(MOST_SPARE, config.sockets() / 8));
+        int toBackends = config.sockets() - spare - clients - overCap - callers;
         Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, settings.maxAttempts);
         Backends backends = new Backends(loop, deadlines, clock::now, metrics, engine, config.connectTimeout(),
             settings.connectionIdle, toBackends, settings.reports == Dispatch.ReportMode.ON_PROBE);
         director = new Director(loop, deadlines, clock, metrics, engine, backends, config.director(),
-            config.known(), config.zones(), config.kinds(), zones == null ? null : zones::guard);
+            config.known(), config.zones(), config.kinds(), zones == null ? null : zones::guard,
+            onCall == null ? null : onCall.hands());
         front = new Front(clock::now, deadlines, metrics, engine, settings, director::isListed, clients, overCap,
             ((long) config.memoryMb() << 20) / HELD_PART, operators == null ? null : operators.gate(metrics));
         engine.join(new Dispatcher(settings, config.seed(), engine, zones), backends, director::watch);
@@ -100,6 +118,9 @@
         if (operators != null) {
             operators.listen(deadlines, metrics);
         }
+        if (onCall != null) {
+            onCall.join(director, front, deadlines, metrics, callers);
+        }
         return front.listen(loop, config.listen());
     }
 
@@ -137,6 +158,9 @@
             if (operators != null) {
                 operators.close();
             }
+            if (onCall != null) {
+                onCall.close();
+            }
             System.out.print(metrics.text());
             System.out.flush();
             quiet.countDown();
--- a/src/main/java/badgermux/backend/Backends.java
+++ b/src/main/java/badgermux/backend/Backends.java
@@ -143,6 +143,11 @@
         fetches.remove(fetch);
     }
 
+    /** A fetch's last byte has left: the backend may run it. */
+    void written() {
+        metrics.add(Count.FETCHES_WRITTEN);
+    }
+
     /** Guards against a backend that gives its result and never ends its response. */
     Deadlines.Deadline limitTail(Pooled pooled) {
         return deadlines.after(TAIL_LIMIT, pooled.connection::close);
--- a/src/main/java/badgermux/backend/FetchExchange.java
+++ b/src/main/java/badgermux/backend/FetchExchange.java
@@ -48,6 +48,10 @@
         return relay.encode(host, Math.max(1, (limit - backends.now()) / 1000));
     }
 
+    @Override public void written() {
+        backends.written();
+    }
+
     @Override public void head(Head head) throws BadMessage {
         int status = head.status();
         String load = head.get("X-Server-Load");
--- a/src/main/java/badgermux/config/Config.java
+++ b/src/main/java/badgermux/config/Config.java
@@ -24,6 +24,7 @@
  * @param name            its name
  * @param listen          where clients connect
  * @param director        where the director answers
+ * @param admin           where operators call; null where they can't
  * @param seed            for random numbers
  * @param sockets         how many descriptors the process may hold
  * @param memoryMb        how much memory the process may take, in MB
@@ -33,10 +34,10 @@
  * @param kinds           the names of the kinds of backends, in the module's order
  * @param connectTimeout  how long a connection may take to come up, in microseconds
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress director, long seed, int sockets,
-        int memoryMb, ListDecoder.Listing known, Dispatch.Settings settings, List<String> zones, List<String> kinds,
-        long connectTimeout) {
-    private static final int DEFAULT_SOCKETS = 1024, FEWEST_SOCKETS = 128;
+public record Config(String name, InetSocketAddress listen, InetSocketAddress director, InetSocketAddress admin,
+        long seed, int sockets, int memoryMb, ListDecoder.Listing known, Dispatch.Settings settings,
+        List<String> zones, List<String> kinds, long connectTimeout) {
+    private static final int DEFAULT_SOCKETS = 1024, FEWEST_SOCKETS = 96;
     private static final int DEFAULT_MEMORY_MB = 192, LEAST_MEMORY_MB = 32;
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 250;
 
@@ -89,7 +90,7 @@
                 throw new ConfigException("settings.Ceilings.ConnectTimeoutMs must be above 0");
             }
             return new Config(text("GW_NAME", "name", "dispatcher"), endpoint("GW_LISTEN", "listen"),
-                endpoint("GW_DISCOVERY", "discovery"), seed(), sockets(), memoryMb(), known(), settings,
+                endpoint("GW_DISCOVERY", "discovery"), admin(), seed(), sockets(), memoryMb(), known(), settings,
                 names(pairs, "FailureDomains"), names(pairs, "Kinds"), Math.round(connect * 1000));
         }
 
@@ -154,6 +155,10 @@
             return address;
         }
 
+        private InetSocketAddress admin() throws ConfigException {
+            return text("GW_ADMIN", "admin", null) == null ? null : endpoint("GW_ADMIN", "admin");
+        }
+
         private long seed() throws ConfigException {
             String value = text("", "seed", null);
             try {
--- /dev/null
+++ b/src/main/java/badgermux/console/Console.java
@@ -0,0 +1,97 @@
+package badgermux.console;
+
+import badgermux.core.Deadlines;
+import badgermux.metrics.Metrics;
+import badgermux.metrics.Metrics.Count;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+
+/** Where operators call: a listener of its own, with room of its own. */
+public final class Console {
+    /** A caller that has brought no whole line by then is closed. */
+    static final long WHOLE_WITHIN = 5_000_000;
+    /** How long a caller that has its answer is heard out before it is closed. */
+    static final long LINGER = 1_000_000;
+
+    private final EventLoopGroup loop;
+    private final Deadlines deadlines;
+    private final Metrics metrics;
+    private final Desk desk;
+    private final int cap;
+    /** Those that have no answer yet, the one that has waited longest first; then those that are heard out. */
+    private final LinkedHashSet<Caller> callers = new LinkedHashSet<>();
+    private final LinkedHashSet<Caller> leaving = new LinkedHashSet<>();
+    private Channel listener;
+
+    /** Makes a console that does not listen yet; {@code cap} bounds how many callers there are at once. */
+    public Console(EventLoopGroup loop, Deadlines deadlines, Metrics metrics, Desk desk, int cap) {
+        this.loop = loop;
+        this.deadlines = deadlines;
+        this.metrics = metrics;
+        this.desk = desk;
+        this.cap = cap;
+    }
+
+    /** Listens on this address only. */
+    public ChannelFuture listen(InetSocketAddress at) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override protected void initChannel(SocketChannel channel) {
+                    channel.pipeline().addLast(new Caller(Console.this, channel));
+                }
+            }).bind(at);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** Takes no more callers; those who wait still get their answer. */
+    public void close() {
+        listener.close();
+    }
+
+    // ---- For its callers
+
+    /** Guards against callers that hold all places with half a call: who comes gets the place of who waited longest. */
+    void opened(Caller caller) {
+        if (callers.size() + leaving.size() >= cap) {
+            Caller victim = (leaving.isEmpty() ? callers : leaving).iterator().next();
+            metrics.add(Count.CONSOLE_CALLERS_EVICTED);
+            closed(victim);
+            victim.close();
+        }
+        callers.add(caller);
+    }
+
+    void leaves(Caller caller) {
+        if (callers.remove(caller)) {
+            leaving.add(caller);
+        }
+    }
+
+    void closed(Caller caller) {
+        callers.remove(caller);
+        leaving.remove(caller);
+    }
+
+    Desk desk() {
+        return desk;
+    }
+
+    Deadlines deadlines() {
+        return deadlines;
+    }
+
+    Metrics metrics() {
+        return metrics;
+    }
+}
--- /dev/null
+++ b/src/main/java/badgermux/console/Desk.java
@@ -0,0 +1,18 @@
+package badgermux.console;
+
+import java.util.function.Consumer;
+
+/** What callers reach. Asked on the event loop, and told there what came of it. */
+public interface Desk {
+    /** Why this process is not ready to serve; null where it is. */
+    String notReady();
+
+    /** The figures, in whole lines. */
+    String figures();
+
+    /** Takes a runner out; tells null once it is kept, or why it can't be. */
+    void takeOut(String id, Consumer<String> told);
+
+    /** Puts a runner back; tells null once that is kept, or why it can't be. */
+    void putBack(String id, Consumer<String> told);
+}
--- /dev/null
+++ b/src/main/java/badgermux/console/package-info.java
@@ -0,0 +1,2 @@
+/** The line protocol on the second address, by which operators' staff and their programs call. */
+package badgermux.console;
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -4,6 +4,7 @@
 import badgermux.decide.Dispatch.Outcome;
 import badgermux.metrics.Metrics;
 import badgermux.metrics.Metrics.Count;
+import badgermux.metrics.Metrics.Ending;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,6 +27,7 @@
     private static final class Req<P> {
         private final Asker asker;
         private final P payload;
+        private final int jobClass;
         private final long fetchLimit;
         private final List<Long> fetches = new ArrayList<>(2);
         private Deadlines.Deadline overdue;
@@ -33,9 +35,10 @@
         private boolean over;
         private boolean timedOut;
 
-        Req(Asker asker, P payload, long fetchLimit) {
+        Req(Asker asker, P payload, int jobClass, long fetchLimit) {
             this.asker = asker;
             this.payload = payload;
+            this.jobClass = jobClass;
             this.fetchLimit = fetchLimit;
         }
     }
@@ -72,7 +75,7 @@
         this.deadlines = deadlines;
         this.metrics = metrics;
         this.maxAttempts = maxAttempts;
-        metrics.level("reqs_open", () -> open);
+        metrics.gauge("current", () -> open);
         metrics.level("fetches_out", fetches::size);
     }
 
@@ -93,7 +96,7 @@
     /** Takes a req in, whose client gives up at {@code until}; returns the handle for {@link #askerGone}. */
     public long take(Asker asker, P payload, int jobClass, double slots, long until) {
         metrics.add(Count.REQS_TAKEN);
-        Req<P> r = new Req<>(asker, payload, until - FETCH_MARGIN);
+        Req<P> r = new Req<>(asker, payload, jobClass, until - FETCH_MARGIN);
         long id = reqs.add(r);
         open++;
         r.overdue = deadlines.at(until - ANSWER_MARGIN, () -> overdue(id));
@@ -179,6 +182,11 @@
         return f;
     }
 
+    /** Whether the module gives a backend no work now. */
+    public boolean avoids(long backend) {
+        return module.avoids(clock.getAsLong(), backend);
+    }
+
     // ---- From the director
 
     public void workers(Dispatch.ListUpdate update, List<Dispatch.Worker> list) {
@@ -205,7 +213,7 @@
             failReq(r, false);
         } else if (outcome == Outcome.SERVED && !r.over) {
             close(r);
-            metrics.add(Count.ANSWERS_SERVED);
+            metrics.ended(Ending.ANSWERED, r.jobClass);
             r.asker.served(result);
         }
         tell(f.req, () -> {
@@ -216,7 +224,7 @@
 
     private void failReq(Req<P> r, boolean late) {
         close(r);
-        metrics.add(Count.ANSWERS_FAILED);
+        metrics.ended(Ending.ERRORED, r.jobClass);
         r.asker.failed(late);
     }
 
@@ -290,7 +298,7 @@
         Req<P> r = reqs.get(job);
         if (r != null && !r.over) {
             close(r);
-            metrics.add(Count.ANSWERS_SYNTHETIC);
+            metrics.ended(Ending.DEFERRED, r.jobClass);
             r.asker.synthetic(comeBack);
             tell(job, () -> forget(job));
         }
--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -310,4 +310,7 @@
 
     /** A timer asked for has come due. */
     void timer(long now, int token);
+
+    /** Whether a worker gets no work now: it is unknown, not ready, set aside, or leaves probes unanswered. */
+    boolean avoids(long now, long worker);
 }
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -204,6 +204,7 @@
         if (zones != null) zones.probed(now, worker, answered, w.cap);
         w.asking.forEach(r -> heard(r, 1));
         w.asking.clear();
+        closeIdle(w);
     }
 
     @Override public void clientGone(long time, long job) {
@@ -218,6 +219,12 @@
         if (due != null) due.run();
     }
 
+    @Override public boolean avoids(long time, long worker) {
+        now = time;
+        Server w = servers.get(worker);
+        return w == null || w.state != WorkerState.READY || w.silent || resting(w);
+    }
+
     private void after(long delay, Runnable what) {
         timers.put(nextToken, what);
         act.timer(Math.max(delay, s.tick), nextToken++);
@@ -335,9 +342,12 @@
         return w.cap < 1 ? kindSlots[w.info.kind()] : w.cap;
     }
 
+    private boolean resting(Server w) {
+        return w.suspect && (now < w.restUntil || !w.out.isEmpty());
+    }
+
     private boolean eligible(Server w, Request r, int leniency) {
-        boolean resting = w.suspect && (now < w.restUntil || !w.out.isEmpty());
-        resting |= now < w.restFor.getOrDefault(r.job.tenant(), 0L);
+        boolean resting = resting(w) || now < w.restFor.getOrDefault(r.job.tenant(), 0L);
         if (w.state != WorkerState.READY || resting && leniency < 1) return false;
         for (Attempt a : r.attempts) {
             // Rule 2: a keyed job that may have run stays with the workers that drop its repeats.
--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -7,6 +7,7 @@
 import badgermux.decide.Dispatch;
 import badgermux.decide.Dispatch.ListUpdate;
 import badgermux.decide.Dispatch.WorkerState;
+import badgermux.hand.Hands;
 import badgermux.http.Address;
 import badgermux.http.BadMessage;
 import badgermux.http.Bytes;
@@ -54,7 +55,10 @@
     private final List<String> kinds;
     private final ListDecoder.Listing known;
     private final Guard guard;
+    private final Hands hands;
     private final Map<Long, Dispatch.Worker> before = new HashMap<>();
+    /** The entries as believed, before operators' hands: kept only where there are such. */
+    private final Map<Long, Dispatch.Worker> believed = new HashMap<>();
     private InetSocketAddress address;
     private final Map<Long, String> names = new HashMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
@@ -71,10 +75,11 @@
      * @param zones the names of the zones, in the module's order
      * @param kinds the names of the kinds of backends, in the module's order
      * @param guard says what of a list is believed; null for all of it
+     * @param hands the runners that operators have taken out; null where they can't
      */
     public Director(EventLoopGroup loop, Deadlines deadlines, Clock clock, Metrics metrics, Engine<?> engine,
             Backends backends, InetSocketAddress at, ListDecoder.Listing known, List<String> zones,
-            List<String> kinds, Guard guard) {
+            List<String> kinds, Guard guard, Hands hands) {
         this.loop = loop;
         this.deadlines = deadlines;
         this.clock = clock;
@@ -85,6 +90,9 @@
         this.zones = zones;
         this.kinds = kinds;
         this.guard = guard;
+        this.hands = hands;
+        metrics.gauge("cluster_size", names::size);
+        metrics.gauge("cluster_unhealthy", () -> names.keySet().stream().filter(engine::avoids).count());
         address = at;
     }
 
@@ -166,7 +174,7 @@
             }
             workers.forEach(worker -> before.put(worker.id(), worker));
         }
-        engine.workers(update, workers);
+        engine.workers(update, hands == null ? workers : throughHands(update, workers));
         Set<Long> gone = new HashSet<>(update == ListUpdate.DELTA ? Set.of() : names.keySet());
         for (Dispatch.Worker worker : workers) {
             if (worker.state() == WorkerState.GONE) {
@@ -181,6 +189,34 @@
         }
     }
 
+    private List<Dispatch.Worker> throughHands(ListUpdate update, List<Dispatch.Worker> workers) {
+        if (update != ListUpdate.DELTA) {
+            believed.clear();
+        }
+        for (Dispatch.Worker worker : workers) {
+            if (worker.state() == WorkerState.GONE) {
+                believed.remove(worker.id());
+            } else {
+                believed.put(worker.id(), worker);
+            }
+        }
+        return workers.stream().map(worker -> hands.seen(names.get(worker.id()), worker)).toList();
+    }
+
+    /** Whether the list names a backend, by its id there. */
+    public boolean names(String id) {
+        return numbers.containsKey(id);
+    }
+
+    /** Tells the module of a backend as it is seen now that it was taken out or put back; one not listed waits. */
+    public void seenAnew(String id) {
+        Long number = numbers.get(id);
+        Dispatch.Worker worker = number == null ? null : believed.get(number);
+        if (worker != null) {
+            engine.workers(ListUpdate.DELTA, List.of(hands.seen(id, worker)));
+        }
+    }
+
     private List<Dispatch.Worker> entries(ListDecoder.Listing listing) {
         List<Dispatch.Worker> workers = new ArrayList<>();
         for (ListDecoder.Member member : listing.members) {
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -259,7 +260,18 @@
     }
 
     boolean isReady() {
-        return ready.getAsBoolean() && !draining;
+        return notReady() == null;
+    }
+
+    /** Why reqs can't be served here; null where they can. */
+    public String notReady() {
+        return draining ? "this process is ending" : !listener.isActive() ? "clients can't connect yet"
+            : ready.getAsBoolean() ? null : "there is no list of runners yet";
+    }
+
+    /** Where clients connect. */
+    public SocketAddress address() {
+        return listener.localAddress();
     }
 
     /** Null where there is none. */
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -9,6 +9,7 @@
 import badgermux.http.Relay;
 import badgermux.http.Terms;
 import badgermux.metrics.Metrics.Count;
+import badgermux.metrics.Metrics.Ending;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -241,11 +242,11 @@
         if (front.isOverCap()) {
             front.metrics().add(Count.CLIENT_CONNECTIONS_OVER_CAP);
             keepAlive = false;
-            synthetic(front.comeBack());
+            turnAway(jobClass);
             return;
         }
         if (current.noRoom) {
-            synthetic(front.comeBack());
+            turnAway(jobClass);
             return;
         }
         byte[] body = current.body.toByteArray();
@@ -262,6 +263,12 @@
         }
     }
 
+    /** Refused here, for want of room: the engine, which counts all other endings, never hears of it. */
+    private void turnAway(int jobClass) {
+        front.metrics().ended(Ending.DEFERRED, jobClass);
+        synthetic(front.comeBack());
+    }
+
     /** Waits for what the gate says of a request. */
     private final class Judged implements Gate.Answer {
         private final ReqHead fields;
@@ -292,13 +299,14 @@
 
         @Override public void refuse(int status, String reason, String headers, byte[] content) {
             if (!isStale()) {
+                front.metrics().ended(Ending.ERRORED, jobClass);
                 answer(status, reason, headers, content);
             }
         }
 
         @Override public void busy() {
             if (!isStale()) {
-                synthetic(front.comeBack());
+                turnAway(jobClass);
             }
         }
     }
--- a/src/main/java/badgermux/http/ClientConnection.java
+++ b/src/main/java/badgermux/http/ClientConnection.java
@@ -20,6 +20,9 @@
     public interface Exchange extends MessageReader.Sink {
         ByteBuf request();
 
+        /** The request has left whole: told once, also where nobody waits for what comes back any more. */
+        default void written() { }
+
         /** The response is whole. The connection may be used again by then, if {@link #isReusable}. */
         void ended();
 
@@ -82,8 +85,10 @@
         Exchange writing = exchange;
         if (writing != null && !closed) {
             channel.writeAndFlush(writing.request()).addListener(done -> {
-                written |= done.isSuccess() && exchange == writing;
-                if (!done.isSuccess()) {
+                if (done.isSuccess()) {
+                    written |= exchange == writing;
+                    writing.written();
+                } else {
                     close();
                 }
             });
--- a/src/test/java/badgermux/arch/PackagesTest.java
+++ b/src/test/java/badgermux/arch/PackagesTest.java
@@ -15,7 +15,7 @@
 /** Which way packages may lean, kept by the build. */
 @AnalyzeClasses(packages = "badgermux", importOptions = ImportOption.DoNotIncludeTests.class)
 class PackagesTest {
-    private static final String[] PURE = {"badgermux.decide..", "badgermux.contract..", "badgermux.zone.."};
+    private static final String[] PURE = {"badgermux.decide..", "badgermux.contract..", "badgermux.zone..", "badgermux.hand.."};
 
     /** Decisions and judgements: bytes, events, times and random numbers come in, and nothing else. */
     @ArchTest static final ArchRule PURE_PACKAGES_DO_NO_IO = noClasses().that().resideInAnyPackage(PURE)
--- /dev/null
+++ b/src/test/java/badgermux/console/CallTest.java
@@ -0,0 +1,45 @@
+package badgermux.console;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CallTest {
+    private static Call parse(String line) throws Call.NoCall {
+        return Call.parse(line.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    @ParameterizedTest @CsvSource({"HEALTH, HEALTH,", "' dump ', DUMP,", "OFFLINE s-0badcafe, OFFLINE, s-0badcafe",
+        "'ONLINE\t  s:1.2', ONLINE, s:1.2"})
+    void callsAreRead(String line, Call.Word word, String id) throws Call.NoCall {
+        assertEquals(new Call(word, id), parse(line));
+    }
+
+    @ParameterizedTest @ValueSource(strings = {"", " ", "FOO", "HEALTHY", "HEALTH now", "DUMP all", "OFFLINE", "ONLINE ",
+        "OFFLINE a b", "OFFLINE \u0007", "HEALTH\r", "OFFLINE \u00e9", "\0"})
+    void whatIsNoCallIsToldWhy(String line) {
+        assertTrue(assertThrows(Call.NoCall.class, () -> parse(line)).getMessage().matches("[ -~]{10,120}"));
+    }
+
+    @ParameterizedTest @ValueSource(ints = {Call.MAX_ID + 1, Call.MAX_LINE})
+    void longLinesAndIdsAreNone(int length) {
+        assertThrows(Call.NoCall.class, () -> parse("OFFLINE " + "x".repeat(length)));
+    }
+
+    @Property void anyBytesAreACallOrAReason(@ForAll @Size(max = 300) byte[] bytes) {
+        try {
+            Call call = Call.parse(bytes);
+            assertTrue(call.id() == null || call.id().matches("[!-~]+"));
+        } catch (Call.NoCall e) {
+            assertTrue(e.getMessage().matches("[ -~]+"));
+        }
+    }
+}
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -21,7 +21,7 @@
     private final List<String> answers = new ArrayList<>();
     private final List<Long> fetched = new ArrayList<>();
     private final List<Long> aborted = new ArrayList<>();
-    private final Metrics metrics = new Metrics();
+    private final Metrics metrics = new Metrics(List.of("a", "b", "c"));
     private long now = SECOND;
     private final Deadlines deadlines = new Deadlines(() -> now, at -> { }, metrics);
     private final Engine<String> engine = new Engine<>(() -> now, deadlines, metrics, 2);
@@ -60,6 +60,10 @@
     }
 
     private final class Module implements Dispatch {
+        @Override public boolean avoids(long time, long worker) {
+            return false;
+        }
+
         @Override public void workers(long time, ListUpdate update, List<Worker> workers) { }
 
         @Override public void request(long time, Job taken) {
--- /dev/null
+++ b/src/test/java/badgermux/it/OnCallIT.java
@@ -0,0 +1,231 @@
+package badgermux.it;
+
+import static badgermux.it.Program.member;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Operators' calls on the real program, its figures against the peers' ledgers, and runners out by hand. */
+@Timeout(60)
+class OnCallIT {
+    private static final long SECOND = 1_000_000_000L;
+
+    @TempDir private Path folder;
+    private Peer one;
+    private Peer two;
+    private Program program;
+
+    @BeforeEach void start() throws IOException {
+        one = new Peer();
+        two = new Peer();
+        program = Program.onCall(folder, members("SERVING"), 256);
+    }
+
+    private String members(String phaseOfOne) {
+        return member("s-1", one, "east", phaseOfOne) + "," + member("s-2", two, "east", "SERVING");
+    }
+
+    @AfterEach void stop() throws IOException {
+        program.close();
+        one.close();
+        two.close();
+    }
+
+    /** Serves reqs one after another; how many of them came to the first backend. */
+    private int servedByOne(int reqs) throws IOException, InterruptedException {
+        int came = 0;
+        try (Client client = program.client()) {
+            for (int i = 0; i < reqs; i++) {
+                client.send(Client.req("/preview", "5000m", "", ""));
+                Peer.Call call = null;
+                while (call == null) {
+                    Peer.Call first = one.peek();
+                    came += first == null ? 0 : 1;
+                    call = first == null ? two.peek() : first;
+                    Thread.onSpinWait();
+                }
+                call.done("r");
+                assertEquals(200, client.read().status());
+            }
+        }
+        return came;
+    }
+
+    @Test void eachCallHasItsAnswer() throws IOException {
+        assertEquals("200 ready\n", program.call("HEALTH"));
+        assertTrue(program.call("DUMP").matches("200 .*\n(svc\\.[a-z._-]+:\\d+\\|[cg]\n)+EOF\n"));
+        assertEquals(2, program.figure("cluster_size"));
+        for (String line : List.of("", "NO", "OFFLINE", "OFFLINE s-9", "ONLINE s-9", "HEALTH x", "x".repeat(5000), "\0\1")) {
+            assertTrue(program.call(line).startsWith("400 "), line);
+        }
+    }
+
+    @ParameterizedTest @ValueSource(strings = {"HEALTH\n", "HEALTH\r\n", "HEALTH"})
+    void callsComeInPiecesAndEndWithALineOrTheInput(String line) throws IOException {
+        try (Socket socket = program.caller()) {
+            socket.setTcpNoDelay(true);
+            for (byte b : line.getBytes(StandardCharsets.US_ASCII)) {
+                socket.getOutputStream().write(b);
+            }
+            if (!line.endsWith("\n")) {
+                socket.shutdownOutput();
+            }
+            assertEquals("200 ready\n", new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII));
+        }
+    }
+
+    @Test void aHundredWhoHoldHalfACallDelayNobody() throws IOException, InterruptedException {
+        List<Socket> holders = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            holders.add(program.caller());
+            holders.get(i).getOutputStream().write("HEAL".getBytes(StandardCharsets.US_ASCII));
+        }
+        for (int i = 0; i < 20; i++) {
+            servedByOne(2);
+            long before = System.nanoTime();
+            assertEquals("200 ready\n", program.call("HEALTH"));
+            assertTrue(System.nanoTime() - before < SECOND);
+        }
+        for (Socket holder : holders) {
+            holder.close();
+        }
+    }
+
+    @Test void aFloodOfClientsTakesNoPlaceOfACaller() throws IOException {
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            clients.add(program.client().send("POST /preview HTTP/1.1\r\n"));
+        }
+        long before = System.nanoTime();
+        assertEquals("200 ready\n", program.call("HEALTH"));
+        assertTrue(System.nanoTime() - before < SECOND);
+        for (Client client : clients) {
+            client.close();
+        }
+    }
+
+    @Test void oneThatIsOutGetsNothingWhateverTheListSays() throws IOException, InterruptedException {
+        program.call("OFFLINE s-2");
+        assertEquals(5, servedByOne(5));
+        program.call("ONLINE s-2");
+        assertEquals("200 out: s-1\n", program.call("OFFLINE s-1"));
+        assertEquals("200 out: s-1\n", program.call("OFFLINE s-1"));
+        assertEquals(1, program.figure("cluster_unhealthy"));
+        assertEquals(0, servedByOne(20));
+        for (int i = 0; i < 3; i++) {     // gone, back, and all anew
+            String list = i == 0 ? member("s-1", one, "east", "DELETED") : members("SERVING");
+            program.director.take().reply("200 OK", "{\"revision\":" + (9 + i) + ",\"complete\":" + (i == 2)
+                + ",\"members\":[" + list + "]}");
+            while (program.count("director_lists") <= i) {
+                Thread.onSpinWait();
+            }
+            assertEquals(0, servedByOne(10), list);
+        }
+        assertEquals(1, program.figure("cluster_unhealthy"));
+    }
+
+    @Test void itIsKeptOverAnEndAndOneCallPutsItBack() throws IOException, InterruptedException {
+        assertEquals("200 out: s-1\n", program.call("OFFLINE s-1"));
+        assertEquals("200 out: s-1\n", program.call("OFFLINE s-1"));
+        Files.writeString(folder.resolve("badgermux-n/out/rubbish"), "x");
+        program.close();
+        program.process.onExit().join();
+        program = Program.onCall(folder, members("SERVING"), 256);
+        assertEquals(0, servedByOne(20));
+        assertEquals("200 back: s-1\n", program.call("ONLINE s-1"));
+        assertEquals(0, program.figure("cluster_unhealthy"));
+        program.call("OFFLINE s-2");
+        assertEquals(5, servedByOne(5));
+        program.close();
+        program.process.onExit().join();
+        program = Program.onCall(folder, members("SERVING"), 256);
+        assertEquals(5, servedByOne(5));
+    }
+
+    @Test void oneThatIsOutAndHasLeftTheListCanBePutBack() throws IOException, InterruptedException {
+        assertEquals("200 out: s-1\n", program.call("OFFLINE s-1"));
+        program.director.take().reply("200 OK", "{\"revision\":9,\"complete\":true,\"members\":["
+            + member("s-2", two, "east", "SERVING") + "]}");
+        program.director.take();
+        assertEquals(1, program.figure("cluster_size"));
+        assertTrue(program.call("OFFLINE s-1").startsWith("200"));
+        assertTrue(program.call("ONLINE s-1").startsWith("200"));
+        assertTrue(program.call("ONLINE s-1").startsWith("400"), "nobody has that id now");
+    }
+
+    /** Every ending once or more; what the program counts against what the peers have seen. */
+    @Test void figuresAreWhatThePeersSaw() throws IOException, InterruptedException {
+        program.call("OFFLINE s-1");
+        int sends = 0;
+        Client leaver = program.client();
+        try (Client client = program.client(); Client bad = program.client()) {
+            for (int i = 0; i < 3; i++) {       // served
+                client.send(Client.req("/preview", "5000m", "", ""));
+                two.take().done("r");
+                sends++;
+                assertEquals(200, client.read().status());
+            }
+            client.send(Client.req("/preview", "5000m", "", ""));   // handed back, then served
+            two.take().reply("503 Busy\r\nX-Not-Processed: 1", "");
+            two.take().done("r");
+            sends += 2;
+            assertEquals(200, client.read().status());
+            client.send(Client.req("/pay", "5000m", "", ""));   // failed: it may have run
+            two.take().reply("500 Error", "");
+            sends++;
+            assertEquals(500, client.read().status());
+            client.send(Client.req("/pay", "1500m", "", ""));   // time runs out
+            two.take();
+            sends++;
+            assertEquals(504, client.read().status());
+            leaver.send(Client.req("/pay", "5000m", "", ""));    // the client leaves
+            two.take();
+            sends++;
+            assertEquals(1, program.figure("current"));
+            leaver.close();
+            bad.send("POST /preview HTTP/1.1\r\nHost: x\r\n\r\n");    // no req at all
+            assertEquals(400, bad.read().status());
+            program.call("OFFLINE s-2");
+            client.send(Client.req("/preview", "300m", "", ""));    // nobody may take it
+            int refused = client.read().status() == 503 ? 1 : 0;
+            while (program.figure("current") > 0) {
+                Thread.onSpinWait();
+            }
+            assertEquals(4, program.figure("transactions.preview.answered"));
+            assertEquals(refused, program.figure("transactions.preview.deferred"));
+            assertEquals(1 - refused, program.figure("transactions.preview.errored"));
+            assertEquals(0, program.figure("transactions.pay.answered"));
+            assertEquals(2, program.figure("transactions.pay.errored"));
+            assertEquals(sends, program.figure("sends"));
+            assertEquals(2, program.figure("cluster_unhealthy"));
+            assertEquals(4, program.count("answers_served"));
+            assertEquals(sends, program.count("fetches_written"));
+            assertNull(one.peek());
+        }
+    }
+
+    @Test void withoutTheAddressNothingListensAndNothingIsMade() throws IOException {
+        Path empty = Files.createDirectory(folder.resolve("none"));
+        try (Program plain = new Program(empty, members("SERVING"))) {
+            assertEquals(0, plain.count("console_calls"));
+        }
+        try (var files = Files.list(empty)) {
+            assertEquals(List.of("config.json"), files.map(file -> file.getFileName().toString()).toList());
+        }
+    }
+}
--- a/src/test/java/badgermux/it/Program.java
+++ b/src/test/java/badgermux/it/Program.java
@@ -4,9 +4,11 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -30,6 +32,7 @@
     private final Path config;
     private int port;
     private int adminPort;
+    private int callPort;
 
     /** Starts it in a folder; {@code members} are the backends that it knows from before. */
     Program(Path folder, String members) throws IOException {
@@ -43,22 +46,32 @@
         awaitPort();
     }
 
+    /** Starts it with an address for operators' calls; {@code folder} is its $TMPDIR, too, which may have been used before. */
+    static Program onCall(Path folder, String members, int sockets) throws IOException {
+        Program program = new Program(command(), config(folder, members, sockets),
+            Map.of("GW_ADMIN", "127.0.0.1:0", "TMPDIR", folder.toString()));
+        program.awaitPort();
+        return program;
+    }
+
     /** Starts it with an admin API, whose options follow {@code serve}. */
     Program(Path folder, String members, String options) throws IOException {
-        this(command() + " --admin 127.0.0.1:0 " + options, config(folder, members));
+        this(command() + " --admin 127.0.0.1:0 " + options, config(folder, members, 1024));
         awaitPort();
     }
 
-    private static Path config(Path folder, String members) throws IOException {
+    private static Path config(Path folder, String members, int sockets) throws IOException {
         return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n\",\"seed\":\"1f\",\"limits\":{\"sockets\":"
-            + "1024,\"memory_mb\":192},\"known\":{\"revision\":1,\"complete\":true,\"members\":[" + members
+            + sockets + ",\"memory_mb\":192},\"known\":{\"revision\":1,\"complete\":true,\"members\":[" + members
             + "]},\"settings\":" + SETTINGS + "}");
     }
 
     private void awaitPort() throws IOException {
         for (String line = log.readLine(); line != null; line = log.readLine()) {
             Matcher matcher = PORT.matcher(line);
-            if (matcher.find() && line.contains("admin API")) {
+            if (line.contains("operators call on")) {
+                callPort = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+            } else if (matcher.find() && line.contains("admin API")) {
                 adminPort = Integer.parseInt(matcher.group(1));
             } else if (matcher.find(0)) {
                 port = Integer.parseInt(matcher.group(1));
@@ -87,10 +100,15 @@
     }
 
     Program(String command, Path config) throws IOException {
+        this(command, config, Map.of());
+    }
+
+    private Program(String command, Path config, Map<String, String> more) throws IOException {
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
         builder.environment().put("GW_LISTEN", "127.0.0.1:0");
         builder.environment().put("GW_DISCOVERY", director.address());
         builder.environment().put("GW_CONFIG", config.toString());
+        builder.environment().putAll(more);
         this.config = config;
         process = builder.start();
         log = process.errorReader(StandardCharsets.UTF_8);
@@ -112,6 +130,27 @@
             + "\",\"flavor\":\"k\",\"cell\":0,\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":0}";
     }
 
+    /** An operator's connection that has said nothing yet. */
+    Socket caller() throws IOException {
+        Socket socket = new Socket("127.0.0.1", callPort);
+        socket.setSoTimeout(Peer.PATIENCE_S * 1000);
+        return socket;
+    }
+
+    /** A call's answer, which ends with its connection. */
+    String call(String line) throws IOException {
+        try (Socket socket = caller()) {
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    /** A figure as DUMP shows it. */
+    long figure(String name) throws IOException {
+        return call("DUMP").lines().filter(line -> line.startsWith("svc." + name + ':'))
+            .mapToLong(line -> Long.parseLong(line.replaceAll(".*:|\\|.*", ""))).findFirst().orElseThrow();
+    }
+
     Client client() throws IOException {
         return new Client(port);
     }
--- a/src/test/java/badgermux/it/ServeIT.java
+++ b/src/test/java/badgermux/it/ServeIT.java
@@ -279,7 +279,7 @@
                 clients.add(small.client().send(Client.req("/preview", "5000m", "", "")));
             }
             assertTrue(resting.isEnded(), "the one that rests is closed");
-            while (small.count("reqs_open") < cap) {
+            while (small.count("current") < cap) {
                 Thread.onSpinWait();
             }
             Client.Answer over = small.client().ask("/preview");
