--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -10,6 +10,7 @@
 import badgermux.decide.Dispatch;
 import badgermux.decide.Dispatcher;
 import badgermux.director.Director;
+import badgermux.director.ListDecoder;
 import badgermux.front.Front;
 import badgermux.http.Relay;
 import badgermux.metrics.Metrics;
@@ -18,20 +19,20 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /** Joins the parts of one real dispatcher on its event loop; rereads its configuration on SIGHUP, ends on SIGTERM. */
 final class Server {
-    /** Descriptors that are no connections: files, the selector, the listeners, the director, some over. */
-    private static final int MOST_SPARE = 48, LEAST_SPARE = 24;
-    /** How many operators' calls may be open at once. */
-    private static final int MOST_CALLERS = 64, FEWEST_CALLERS = 12;
     /** The part of all memory that bodies may hold until their reqs are answered: 12 MB of 192. */
     private static final int HELD_PART = 16;
 
@@ -69,21 +70,24 @@
         // First of all: SIGHUP ends a process that says nothing of it.
         Hangup.handle(this::reload);
         Config config = Config.read(environment);
+        ServerSocketChannel held = config.inherits() ? inherited() : null;
         metrics = new Metrics(config.settings().classes.stream().map(Dispatch.JobClass::name).toList());
         deadlines = new Deadlines(clock::now, this::alarm, metrics);
         onCall = config.admin() == null ? null
             : new OnCall(config.name(), config.settings().coldFor, environment.get("TMPDIR"), loop, clock);
         operators = options == null ? null : new Operators(options, loop, clock::now);
         ZonePolicy zones = operators == null ? null : operators.zones(config.zones(), config.settings());
+        CompletableFuture<ChannelFuture> front = new CompletableFuture<>();
+        loop.execute(() -> begin(config, zones, held, front));
         try {
-            await("GW_LISTEN (listen)", loop.submit(() -> start(config, zones)).get());
+            await("GW_LISTEN (listen)", front.get());
             if (onCall != null) {
                 ChannelFuture bound = loop.submit(() -> onCall.listen(config.admin())).get();
                 await("GW_ADMIN (admin)", bound);
                 Logger.info("operators call on {}", bound.channel().localAddress());
             }
             Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
-            Logger.info("{} listens on {}", config.name(), front.address());
+            Logger.info("{} listens on {}", config.name(), this.front.address());
         } catch (ExecutionException e) {
             throw new ConfigException("settings: " + e.getCause().getMessage());
         }
@@ -91,37 +95,64 @@
         quiet.await();
     }
 
+    /** The socket that is held for us. */
+    private static ServerSocketChannel inherited() throws ConfigException {
+        try {
+            if (System.inheritedChannel() instanceof ServerSocketChannel held) {
+                return held;
+            }
+        } catch (IOException e) {
+            throw new ConfigException("GW_SOCKET_FD: descriptor 0 can't be inherited: " + e.getMessage());
+        }
+        throw new ConfigException("GW_SOCKET_FD: descriptor 0 is no socket that listens");
+    }
+
     private static void await(String what, ChannelFuture bound) throws ConfigException, InterruptedException {
         if (!bound.await().isSuccess()) {
             throw new ConfigException(what + " can't be bound: " + bound.cause().getMessage());
         }
     }
 
-    private ChannelFuture start(Config config, ZonePolicy zones) {
+    /** Asks the process before this one first, where there may be one; then all is made and clients are let in. */
+    private void begin(Config config, ZonePolicy zones, ServerSocketChannel held, CompletableFuture<ChannelFuture> front) {
+        Consumer<ListDecoder.Listing> start = known -> {
+            try {
+                front.complete(start(config, zones, held, known));
+            } catch (RuntimeException e) {
+                front.completeExceptionally(e);
+            }
+        };
+        if (onCall == null || held == null) {
+            start.accept(config.known());
+        } else {
+            onCall.follow(deadlines, listing ->
+                start.accept(listing == null ? config.known() : ListDecoder.Listing.newer(config.known(), listing)));
+        }
+    }
+
+    private ChannelFuture start(Config config, ZonePolicy zones, ServerSocketChannel held, ListDecoder.Listing known) {
         Dispatch.Settings settings = config.settings();
-        // Clients with reqs hold a third at most, and each open req may need a backend: the rest leads there.
-        int clients = config.sockets() / 3 + config.sockets() / 32;
-        int overCap = Math.min(64, config.sockets() / 8);
-        int callers = onCall == null ? 0 : Math.max(FEWEST_CALLERS, Math.min(MOST_CALLERS, config.sockets() / 16));
-        int spare = Math.max(LEAST_SPARE, Math.min(MOST_SPARE, config.sockets() / 8));
-        int toBackends = config.sockets() - spare - clients - overCap - callers;
+        Room room = Room.of(config.sockets(), onCall != null);
         Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, settings.maxAttempts);
         Backends backends = new Backends(loop, deadlines, clock::now, metrics, engine, config.connectTimeout(),
-            settings.connectionIdle, toBackends, settings.reports == Dispatch.ReportMode.ON_PROBE);
+            settings.connectionIdle, room.toBackends(), settings.reports == Dispatch.ReportMode.ON_PROBE);
         director = new Director(loop, deadlines, clock, metrics, engine, backends, config.director(),
-            config.known(), config.zones(), config.kinds(), zones == null ? null : zones::guard,
+            known, config.zones(), config.kinds(), zones == null ? null : zones::guard,
             onCall == null ? null : onCall.hands());
-        front = new Front(clock::now, deadlines, metrics, engine, settings, director::isListed, clients, overCap,
-            ((long) config.memoryMb() << 20) / HELD_PART, operators == null ? null : operators.gate(metrics));
+        front = new Front(clock::now, deadlines, metrics, engine, settings, director::isListed, room.clients(),
+            room.overCap(), ((long) config.memoryMb() << 20) / HELD_PART,
+            operators == null ? null : operators.gate(metrics));
         engine.join(new Dispatcher(settings, config.seed(), engine, zones), backends, director::watch);
         director.start();
         if (operators != null) {
             operators.listen(deadlines, metrics);
         }
+        ChannelFuture listening = held == null ? front.listen(loop, config.listen())
+            : front.listen(loop, held, onCall == null || !onCall.follows());
         if (onCall != null) {
-            onCall.join(director, front, deadlines, metrics, callers);
+            onCall.join(director, front, backends, engine, deadlines, metrics, config.sockets());
         }
-        return front.listen(loop, config.listen());
+        return listening;
     }
 
     /**
@@ -154,21 +185,28 @@
 
     /** The process goes on until this returns: once all that was taken is answered. */
     private void end() {
-        loop.execute(() -> front.drain(() -> {
-            if (operators != null) {
-                operators.close();
-            }
+        loop.execute(() -> {
             if (onCall != null) {
-                onCall.close();
+                onCall.ending();
             }
-            System.out.print(metrics.text());
-            System.out.flush();
-            quiet.countDown();
-        }));
+            front.drain(this::drained);
+        });
         try {
             quiet.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    private void drained() {
+        if (operators != null) {
+            operators.close();
+        }
+        if (onCall != null) {
+            onCall.close();
+        }
+        System.out.print(metrics.text());
+        System.out.flush();
+        quiet.countDown();
+    }
 }
--- a/src/main/java/badgermux/backend/Backends.java
+++ b/src/main/java/badgermux/backend/Backends.java
@@ -43,7 +43,7 @@
     private final Engine<Relay> engine;
     private final long connectTimeout;
     private final long idleLimit;
-    private final int cap;
+    private int cap;
     private final String probeTarget;
     private final Map<Long, Backend> backends = new HashMap<>();
     private final Map<Long, FetchExchange> fetches = new HashMap<>();
@@ -73,6 +73,11 @@
         probeTarget = reports ? "/load" : "/healthz";
     }
 
+    /** Bounds how many connections there may be in all from here on; those beyond it end as they become idle. */
+    public void limit(int most) {
+        cap = most;
+    }
+
     /** The list names a backend's address. */
     public void locate(long id, InetSocketAddress address) {
         Backend backend = backends.computeIfAbsent(id, x -> new Backend());
@@ -184,7 +189,9 @@
 
     /** Keeps a connection for later, if it can be. */
     void put(Pooled pooled) {
-        if (pooled.connection.isReusable() && idle.add(pooled)) {
+        if (connections > cap) {
+            pooled.connection.close();
+        } else if (pooled.connection.isReusable() && idle.add(pooled)) {
             pooled.backend.idle.addFirst(pooled);
             pooled.idleLimit = deadlines.after(idleLimit, pooled.connection::close);
         }
--- a/src/main/java/badgermux/config/Config.java
+++ b/src/main/java/badgermux/config/Config.java
@@ -25,6 +25,7 @@
  * @param listen          where clients connect
  * @param director        where the director answers
  * @param admin           where operators call; null where they can't
+ * @param inherits        whether clients connect to a listening socket that is held for us, descriptor 0
  * @param seed            for random numbers
  * @param sockets         how many descriptors the process may hold
  * @param memoryMb        how much memory the process may take, in MB
@@ -35,9 +36,9 @@
  * @param connectTimeout  how long a connection may take to come up, in microseconds
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress director, InetSocketAddress admin,
-        long seed, int sockets, int memoryMb, ListDecoder.Listing known, Dispatch.Settings settings,
+        boolean inherits, long seed, int sockets, int memoryMb, ListDecoder.Listing known, Dispatch.Settings settings,
         List<String> zones, List<String> kinds, long connectTimeout) {
-    private static final int DEFAULT_SOCKETS = 1024, FEWEST_SOCKETS = 96;
+    private static final int DEFAULT_SOCKETS = 1024, FEWEST_SOCKETS = 128;
     private static final int DEFAULT_MEMORY_MB = 192, LEAST_MEMORY_MB = 32;
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 250;
 
@@ -90,7 +91,7 @@
                 throw new ConfigException("settings.Ceilings.ConnectTimeoutMs must be above 0");
             }
             return new Config(text("GW_NAME", "name", "dispatcher"), endpoint("GW_LISTEN", "listen"),
-                endpoint("GW_DISCOVERY", "discovery"), admin(), seed(), sockets(), memoryMb(), known(), settings,
+                endpoint("GW_DISCOVERY", "discovery"), admin(), inherits(), seed(), sockets(), memoryMb(), known(), settings,
                 names(pairs, "FailureDomains"), names(pairs, "Kinds"), Math.round(connect * 1000));
         }
 
@@ -159,6 +160,15 @@
             return text("GW_ADMIN", "admin", null) == null ? null : endpoint("GW_ADMIN", "admin");
         }
 
+        private boolean inherits() throws ConfigException {
+            String number = environment.getOrDefault("GW_SOCKET_FD", "");
+            // Java can take over the descriptor of its standard input and no other.
+            if (!number.isEmpty() && !number.equals("0")) {
+                throw new ConfigException("GW_SOCKET_FD must be 0, the only descriptor that can be inherited: " + number);
+            }
+            return !number.isEmpty();
+        }
+
         private long seed() throws ConfigException {
             String value = text("", "seed", null);
             try {
--- a/src/main/java/badgermux/console/Call.java
+++ b/src/main/java/badgermux/console/Call.java
@@ -12,7 +12,9 @@
 public record Call(Word word, String id) {
     /** What may be asked. */
     public enum Word {
-        HEALTH(false), DUMP(false), OFFLINE(true), ONLINE(true);
+        HEALTH(false), DUMP(false), OFFLINE(true), ONLINE(true),
+        /** From the next process of this dispatcher; in place of an id there is the secret that this one wrote down. */
+        TAKEOVER(true);
 
         private final boolean ofRunner;
 
@@ -56,7 +58,7 @@
             throw new NoCall(word + " has an argument too many");
         }
         if (parts.length < (word.ofRunner ? 2 : 1)) {
-            throw new NoCall(word + " needs the id of a runner");
+            throw new NoCall(word + " needs " + (word == Word.TAKEOVER ? "a secret" : "the id of a runner"));
         }
         String id = word.ofRunner ? parts[1] : null;
         if (id != null && id.length() > MAX_ID) {
--- a/src/main/java/badgermux/console/Caller.java
+++ b/src/main/java/badgermux/console/Caller.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -74,6 +75,7 @@
                 case HEALTH -> tell(console.desk().notReady(), "ready");
                 case DUMP -> answer("200 figures follow\n" + console.desk().figures() + "EOF\n");
                 case OFFLINE -> console.desk().takeOut(call.id(), why -> tell(why, "out: " + call.id()));
+                case TAKEOVER -> takeOver(call.id());
                 case ONLINE -> console.desk().putBack(call.id(), why -> tell(why, "back: " + call.id()));
             }
         } catch (Call.NoCall e) {
@@ -81,6 +83,18 @@
         }
     }
 
+    private void takeOver(String secret) {
+        ChannelHandler next = console.desk().takeOver(secret);
+        if (next == null) {
+            tell("that is not the secret of this process", null);
+            return;
+        }
+        console.deadlines().cancel(limit);
+        console.closed(this);
+        channel.pipeline().replace(this, "link", next);
+        console.desk().takenOver(next);
+    }
+
     private void tell(String no, String yes) {
         if (no != null) {
             console.metrics().add(Count.CONSOLE_CALLS_REFUSED);
--- a/src/main/java/badgermux/console/Console.java
+++ b/src/main/java/badgermux/console/Console.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.LinkedHashSet;
 
 /** Where operators call: a listener of its own, with room of its own. */
@@ -25,7 +26,7 @@
     private final Deadlines deadlines;
     private final Metrics metrics;
     private final Desk desk;
-    private final int cap;
+    private int cap;
     /** Those that have no answer yet, the one that has waited longest first; then those that are heard out. */
     private final LinkedHashSet<Caller> callers = new LinkedHashSet<>();
     private final LinkedHashSet<Caller> leaving = new LinkedHashSet<>();
@@ -54,6 +55,16 @@
         return bound;
     }
 
+    /** Where it listens; null where it does not. */
+    public SocketAddress address() {
+        return listener == null ? null : listener.localAddress();
+    }
+
+    /** Bounds how many callers there are at once from here on. */
+    public void limit(int most) {
+        cap = most;
+    }
+
     /** Takes no more callers; those who wait still get their answer. */
     public void close() {
         listener.close();
--- a/src/main/java/badgermux/console/Desk.java
+++ b/src/main/java/badgermux/console/Desk.java
@@ -1,5 +1,6 @@
 package badgermux.console;
 
+import io.netty.channel.ChannelHandler;
 import java.util.function.Consumer;
 
 /** What callers reach. Asked on the event loop, and told there what came of it. */
@@ -15,4 +16,10 @@
 
     /** Puts a runner back; tells null once that is kept, or why it can't be. */
     void putBack(String id, Consumer<String> told);
+
+    /** What goes on with the connection of the next process; null where the secret is not ours. */
+    ChannelHandler takeOver(String secret);
+
+    /** The connection is handed on to what {@link #takeOver} gave. */
+    void takenOver(ChannelHandler by);
 }
--- a/src/main/java/badgermux/core/Clock.java
+++ b/src/main/java/badgermux/core/Clock.java
@@ -12,6 +12,11 @@
         return wallAtStart + (System.nanoTime() - nanosAtStart) / 1000;
     }
 
+    /** A time on this clock as Unix time in milliseconds. */
+    public long toUnixMillis(long micros) {
+        return micros / 1000;
+    }
+
     /** A Unix time in milliseconds on this clock; 0, which stands for long ago, stays 0. */
     public long fromUnixMillis(double millis) {
         return millis <= 0 ? 0 : Math.round(millis * 1000);
--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -15,6 +15,7 @@
 import badgermux.http.Head;
 import badgermux.metrics.Metrics;
 import badgermux.metrics.Metrics.Count;
+import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoopGroup;
@@ -59,6 +60,8 @@
     private final Map<Long, Dispatch.Worker> before = new HashMap<>();
     /** The entries as believed, before operators' hands: kept only where there are such. */
     private final Map<Long, Dispatch.Worker> believed = new HashMap<>();
+    /** The entries as they came, by id, for the next process: kept only where there may be one. */
+    private final Map<String, ListDecoder.Member> members = new HashMap<>();
     private InetSocketAddress address;
     private final Map<Long, String> names = new HashMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
@@ -192,10 +195,12 @@
     private List<Dispatch.Worker> throughHands(ListUpdate update, List<Dispatch.Worker> workers) {
         if (update != ListUpdate.DELTA) {
             believed.clear();
+            members.keySet().retainAll(workers.stream().map(worker -> names.get(worker.id())).toList());
         }
         for (Dispatch.Worker worker : workers) {
             if (worker.state() == WorkerState.GONE) {
                 believed.remove(worker.id());
+                members.remove(names.get(worker.id()));
             } else {
                 believed.put(worker.id(), worker);
             }
@@ -208,6 +213,17 @@
         return numbers.containsKey(id);
     }
 
+    /** The list as last held, in the director's form. */
+    public JsonObject held() {
+        return ListDecoder.encode(revision, members.values());
+    }
+
+    /** Tells the module of all backends as they are seen now. */
+    public void allSeenAnew() {
+        engine.workers(ListUpdate.DELTA, believed.values().stream()
+            .map(worker -> hands.seen(names.get(worker.id()), worker)).toList());
+    }
+
     /** Tells the module of a backend as it is seen now that it was taken out or put back; one not listed waits. */
     public void seenAnew(String id) {
         Long number = numbers.get(id);
@@ -244,6 +260,9 @@
         if (address != null) {
             backends.locate(id, address);
         }
+        if (hands != null) {
+            members.put(member.id, member);
+        }
         return new Dispatch.Worker(id, zone, kind, member.cell, state, clock.fromUnixMillis(member.upSinceMs));
     }
 
--- a/src/main/java/badgermux/director/ListDecoder.java
+++ b/src/main/java/badgermux/director/ListDecoder.java
@@ -1,10 +1,12 @@
 package badgermux.director;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 
 /** Decodes the director's list. */
@@ -14,6 +16,11 @@
         long revision;
         boolean complete;
         List<Member> members = List.of();
+
+        /** The newer of two lists. */
+        public static Listing newer(Listing one, Listing other) {
+            return one.revision > other.revision ? one : other;
+        }
     }
 
     /** A backend as the list shows it. */
@@ -38,6 +45,27 @@
         }
     }
 
+    /** The director's form of a whole list; what {@link #decode} reads. */
+    static JsonObject encode(long revision, Collection<Member> members) {
+        JsonArray array = new JsonArray();
+        for (Member member : members) {
+            JsonObject to = new JsonObject();
+            to.addProperty("id", member.id);
+            to.addProperty("host_port", member.hostPort);
+            to.addProperty("locality", member.locality);
+            to.addProperty("flavor", member.flavor);
+            to.addProperty("phase", member.phase);
+            to.addProperty("cell", member.cell);
+            to.addProperty("up_since_ms", member.upSinceMs);
+            array.add(to);
+        }
+        JsonObject list = new JsonObject();
+        list.addProperty("revision", revision);
+        list.addProperty("complete", true);
+        list.add("members", array);
+        return list;
+    }
+
     private static Listing listing(JsonObject from) {
         Listing listing = new Listing();
         listing.revision = from.has("revision") ? from.get("revision").getAsLong() : 0;
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -47,8 +48,8 @@
     private final List<Long> patience;
     private final Set<Integer> keyed;
     private final BooleanSupplier ready;
-    private final int cap;
-    private final int overCap;
+    private int cap;
+    private int overCap;
     private final long maxHeld;
     private final long comeBack;
     private final Gate gate;
@@ -64,6 +65,8 @@
     private Channel listener;
     private Deadlines.Deadline acceptAgain;
     private long held;
+    private boolean inherited;
+    private boolean handedOver;
     private boolean draining;
 
     /**
@@ -98,16 +101,66 @@
 
     /** Listens on this address only. */
     public ChannelFuture listen(EventLoopGroup loop, InetSocketAddress at) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
+        ChannelFuture bound = bootstrap(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true).bind(at);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /**
+     * Serves clients of a socket that listens already and that other processes hold, too. It is never closed here: Java
+     * would close the standard output with it.
+     *
+     * @param accepts whether to accept at once, and not only after {@link #takeBack}
+     */
+    public ChannelFuture listen(EventLoopGroup loop, ServerSocketChannel held, boolean accepts) {
+        inherited = true;
+        handedOver = !accepts;
+        ChannelFuture registered = bootstrap(loop).channelFactory(() -> new NioServerSocketChannel(held))
+            .option(ChannelOption.AUTO_READ, accepts).register();
+        listener = registered.channel();
+        return registered;
+    }
+
+    private ServerBootstrap bootstrap(EventLoopGroup loop) {
+        return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     channel.pipeline().addLast(new FrontConnection(Front.this, channel));
                 }
-            }).bind(at);
-        listener = bound.channel();
-        return bound;
+            });
+    }
+
+    /** Bounds connections anew, as the constructor says it. */
+    public void limit(int most, int beyond) {
+        cap = most;
+        overCap = beyond;
+    }
+
+    /**
+     * Another process serves the same socket from here on: none are accepted, clients between two reqs are closed, and
+     * the others once they have their answer, so that what they send next goes to that process.
+     */
+    public void handOver() {
+        if (!handedOver && !draining) {
+            handedOver = true;
+            stopAccepting();
+            closeResting();
+        }
+    }
+
+    /** Accepts again. */
+    public void takeBack() {
+        if (handedOver && !draining) {
+            handedOver = false;
+            listener.config().setAutoRead(true);
+        }
+    }
+
+    private void stopAccepting() {
+        deadlines.cancel(acceptAgain);
+        acceptAgain = null;
+        listener.config().setAutoRead(false);
     }
 
     /** Winds up: serves what comes during the changeover, answers all that was taken, then runs {@code quiet}. */
@@ -116,6 +169,14 @@
             return;
         }
         draining = true;
+        if (inherited) {
+            // Who connects from here on waits in the socket's queue for the next process, and is not refused.
+            stopAccepting();
+        }
+        if (handedOver) {
+            whenQuiet(quiet);
+            return;
+        }
         deadlines.after(KEPT_ON, this::closeResting);
         deadlines.after(CHANGEOVER, () -> whenQuiet(quiet));
     }
@@ -125,7 +186,9 @@
         // Guards against a first req that crosses its connection's close: only those that say nothing are closed.
         List.copyOf(fresh).stream().filter(c -> now() - c.openedAt() >= SPARED).forEach(FrontConnection::close);
         if (connections.isEmpty() && engine.open() == 0) {
-            listener.close();
+            if (!inherited) {
+                listener.close();
+            }
             quiet.run();
         } else {
             deadlines.after(QUIET_CHECK, () -> whenQuiet(quiet));
@@ -146,7 +209,7 @@
         }
         connections.add(connection);
         fresh.add(connection);
-        if (connections.size() >= cap + overCap && acceptAgain == null) {
+        if (connections.size() >= cap + overCap && acceptAgain == null && listener.config().isAutoRead()) {
             listener.config().setAutoRead(false);
             acceptAgain = deadlines.after(ACCEPT_AGAIN, this::acceptAgain);
         }
@@ -230,8 +293,9 @@
         openIds.remove(id);
     }
 
-    boolean isDraining() {
-        return draining;
+    /** Whether clients are to go elsewhere with what they send next. */
+    boolean isLeaving() {
+        return draining || handedOver;
     }
 
     /** Whether as many reqs as connections are served wait for their answer: one more is turned away. */
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -347,7 +347,7 @@
 
     private void answer(int status, String reason, String headers, byte[] content) {
         over();
-        keepAlive &= !front.isDraining();
+        keepAlive &= !front.isLeaving();
         if (closed) {
             return;
         }
--- a/src/main/java/badgermux/hand/Hands.java
+++ b/src/main/java/badgermux/hand/Hands.java
@@ -16,6 +16,8 @@
     private final Set<String> out = new HashSet<>();
     private final Map<String, Long> back = new HashMap<>();
     private final long coldFor;
+    /** Runners that started after this are seen as draining. */
+    private long restSince = Long.MAX_VALUE;
 
     /** An empty set; a runner that came back longer ago than {@code coldFor} is as any other. */
     public Hands(long coldFor) {
@@ -55,10 +57,26 @@
         return Map.copyOf(back);
     }
 
+    /** Forgets all, and goes by what the process before this one held. */
+    public void become(Set<String> nowOut, Map<String, Long> cameBack) {
+        out.clear();
+        back.clear();
+        out.addAll(nowOut);
+        back.putAll(cameBack);
+    }
+
+    /**
+     * Has all runners that are cold at a time seen as draining: another process spends their budget from here on.
+     * {@link Long#MAX_VALUE} ends it.
+     */
+    public void restCold(long now) {
+        restSince = now == Long.MAX_VALUE ? now : now - coldFor;
+    }
+
     /** A runner of the list as the module is to see it. */
     public Dispatch.Worker seen(String id, Dispatch.Worker listed) {
-        boolean banned = out.contains(id) && listed.state() == WorkerState.READY;
         long started = Math.max(listed.startedAt(), back.getOrDefault(id, 0L));
+        boolean banned = (out.contains(id) || started > restSince) && listed.state() == WorkerState.READY;
         if (!banned && started == listed.startedAt()) {
             return listed;
         }
