Hear out a req that goes on coming, and close first who left half of one behind

Change: 2 s of silence, and 8 s in all; eviction takes strangers, then silent ones (60 ms while nobody more can be let in), then halves left behind, then clients at rest, and none that goes on coming. At an end all halves are closed after the changeover.

--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -35,6 +35,8 @@
     private static final long QUIET_CHECK = 50_000;
     /** A client sends as soon as it is connected. One that has not by then may have to make room for others. */
     static final long SPARED = 300_000;
+    /** The same while nobody more can be let in: what had come by then has been read. */
+    static final long SPARED_IN_NEED = 60_000;
     /** How soon those who wait to be accepted are looked after again, while there is no room. */
     private static final long ACCEPT_AGAIN = 20_000;
     /** When a req that is refused here, for want of room, should come again. */
@@ -54,8 +56,10 @@
     private final long comeBack;
     private final Gate gate;
     private final LinkedHashSet<FrontConnection> connections = new LinkedHashSet<>();
-    /** Those of which no whole request has come yet, the oldest first. */
+    /** Those of which nothing has come yet, the oldest first. */
     private final LinkedHashSet<FrontConnection> fresh = new LinkedHashSet<>();
+    /** Those that have begun a request, the one that has said nothing for longest first. */
+    private final LinkedHashSet<FrontConnection> halfway = new LinkedHashSet<>();
     /** Those between two requests that never brought a req, or that were rejected and are about to end. */
     private final LinkedHashSet<FrontConnection> strangers = new LinkedHashSet<>();
     /** Those between two reqs, the one that has been so longest first. */
@@ -68,6 +72,7 @@
     private boolean inherited;
     private boolean handedOver;
     private boolean draining;
+    private long drainedFrom;
 
     /**
      * Makes a front that does not listen yet.
@@ -169,6 +174,7 @@
             return;
         }
         draining = true;
+        drainedFrom = now();
         if (inherited) {
             // Who connects from here on waits in the socket's queue for the next process, and is not refused.
             stopAccepting();
@@ -185,6 +191,9 @@
         closeResting();
         // Guards against a first req that crosses its connection's close: only those that say nothing are closed.
         List.copyOf(fresh).stream().filter(c -> now() - c.openedAt() >= SPARED).forEach(FrontConnection::close);
+        // Guards against a req that has come whole so late that it can't be answered before we are killed.
+        List.copyOf(halfway).stream().filter(c -> now() >= drainedFrom + CHANGEOVER
+            || !c.isMoving() && now() - c.heardAt() >= SPARED).forEach(FrontConnection::close);
         if (connections.isEmpty() && engine.open() == 0) {
             if (!inherited) {
                 listener.close();
@@ -217,14 +226,15 @@
 
     /**
      * Closes the connection that will be missed least, if there is one: a stranger's, then one that has said nothing
-     * for a while, then a client's between two reqs, which sends what crosses the close once more.
+     * for a while, then one that left half a request behind, then a client's between two reqs, which sends what crosses
+     * the close once more. One whose request goes on coming is let be.
      */
     private boolean makeRoom() {
+        long silentSince = now() - (connections.size() < cap + overCap ? SPARED : SPARED_IN_NEED);
         FrontConnection victim = first(strangers);
-        if (victim == null) {
-            FrontConnection oldest = first(fresh);
-            victim = oldest != null && now() - oldest.openedAt() >= SPARED ? oldest : first(resting);
-        }
+        victim = victim == null ? longSilent(fresh, silentSince) : victim;
+        victim = victim == null ? longSilent(halfway, now() - SPARED) : victim;
+        victim = victim == null ? first(resting) : victim;
         if (victim == null) {
             return false;
         }
@@ -234,6 +244,19 @@
         return true;
     }
 
+    /** The first that is not moving and has said nothing since a time; null where there is none. */
+    private static FrontConnection longSilent(LinkedHashSet<FrontConnection> of, long since) {
+        for (FrontConnection connection : of) {
+            if (connection.heardAt() > since) {
+                return null;
+            }
+            if (!connection.isMoving()) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
     private static FrontConnection first(LinkedHashSet<FrontConnection> of) {
         return of.isEmpty() ? null : of.iterator().next();
     }
@@ -252,6 +275,14 @@
         }
     }
 
+    /** A request has begun to come, and goes on. */
+    void halfway(FrontConnection connection) {
+        if (connections.contains(connection)) {
+            leavesSets(connection);
+            halfway.add(connection);
+        }
+    }
+
     void rests(FrontConnection connection) {
         if (connections.contains(connection)) {
             leavesSets(connection);
@@ -276,6 +307,7 @@
 
     private void leavesSets(FrontConnection connection) {
         fresh.remove(connection);
+        halfway.remove(connection);
         strangers.remove(connection);
         resting.remove(connection);
     }
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -25,8 +25,12 @@
 
 /** A client's connection: one req at a time, each with its final answer. */
 final class FrontConnection extends ChannelInboundHandlerAdapter implements MessageReader.Sink, Asker {
-    /** The first request must have come whole within this time of the connection, a later one of its first byte. */
-    static final long WHOLE_WITHIN = 2_000_000;
+    /** A connection that owes the rest of a request, or its first one, is heard out so long from the last byte on. */
+    static final long SILENT_FOR = 2_000_000;
+    /** A request must have come whole within this time of its first byte, however it goes on coming. */
+    static final long WHOLE_WITHIN = 8_000_000;
+    /** Bytes that come so long after others were sent apart: nobody's who left half a request behind. */
+    private static final long APART = 20_000;
     /** After a rejection the client has so long, and may send so much more, before the connection is cut off. */
     private static final long LINGER = 500_000;
     private static final long MAX_DRAINED = 1 << 20;
@@ -61,6 +65,8 @@
     private Terms terms;
     private long req;
     private long cameAt;
+    private long heardAt;
+    private boolean moving;
     private long drained;
     private boolean known;
     private boolean busy;
@@ -73,6 +79,7 @@
         this.front = front;
         this.channel = channel;
         openedAt = front.now();
+        heardAt = openedAt;
     }
 
     /** When it was opened. */
@@ -80,13 +87,23 @@
         return openedAt;
     }
 
+    /** When its last byte came; when it was opened, before that. */
+    long heardAt() {
+        return heardAt;
+    }
+
+    /** Whether the request that it has begun goes on coming in pieces. */
+    boolean isMoving() {
+        return moving;
+    }
+
     /** Whether a req was taken from it: a bad client's connections never get that far. */
     boolean isKnown() {
         return known;
     }
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
-        limit = front.deadlines().after(WHOLE_WITHIN, this::tooLate);
+        limit = front.deadlines().after(SILENT_FOR, this::tooLate);
         front.opened(this);
     }
 
@@ -101,6 +118,8 @@
             }
             return;
         }
+        moving |= incoming != null && front.now() - heardAt > APART;
+        heardAt = front.now();
         // Guards against a deadline that starts late: the client counts from before it sent, not from our parsing.
         if (!pending.isReadable() && incoming == null) {
             cameAt = front.now();
@@ -156,6 +175,7 @@
         if (reader.read(pending)) {
             waiting = incoming;
             incoming = null;
+            moving = false;
             cameAt = front.now();
         }
     }
@@ -168,7 +188,7 @@
         }
         if (partial || !busy && !known) {
             if (limit == null) {
-                limit = front.deadlines().after(WHOLE_WITHIN, this::tooLate);
+                limit = front.deadlines().after(SILENT_FOR, this::tooLate);
             }
         } else {
             front.deadlines().cancel(limit);
@@ -176,13 +196,20 @@
         }
         if (busy) {
             front.works(this);
-        } else if (!partial) {
+        } else if (partial) {
+            front.halfway(this);
+        } else {
             front.rests(this);
         }
     }
 
     /** Guards against connections held by those who say nothing, or half of something. */
     private void tooLate() {
+        long until = incoming == null ? 0 : Math.min(heardAt + SILENT_FOR, incoming.cameAt + WHOLE_WITHIN);
+        if (until > front.now()) {
+            limit = front.deadlines().at(until, this::tooLate);     // it goes on coming
+            return;
+        }
         limit = null;
         if (incoming == null) {
             front.metrics().add(Count.CLIENT_CONNECTIONS_SILENT);
--- /dev/null
+++ b/src/test/java/badgermux/it/HardDaysIT.java
@@ -0,0 +1,106 @@
+package badgermux.it;
+
+import static badgermux.it.Program.member;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Peers that write slowly, say half of something or nothing, and crowds of them, on few descriptors. */
+@Timeout(60)
+class HardDaysIT {
+    @TempDir private Path folder;
+    private Peer backend;
+    private Program program;
+
+    @BeforeEach void start() throws IOException {
+        backend = new Peer();
+        program = Program.onCall(folder, member("s-1", backend, "east", "SERVING"), 128);
+    }
+
+    @AfterEach void stop() throws IOException {
+        program.close();
+        backend.close();
+    }
+
+    /** Sends a req in pieces, with a pause behind each. */
+    private static void slowly(Client client, String req, int pieces, int millis) throws IOException, InterruptedException {
+        int size = (req.length() + pieces - 1) / pieces;
+        for (int at = 0; at < req.length(); at += size) {
+            client.send(req.substring(at, Math.min(req.length(), at + size)));
+            TimeUnit.MILLISECONDS.sleep(millis);
+        }
+    }
+
+    @Test void aReqThatComesOverMoreThanTwoSecondsIsServed() throws IOException, InterruptedException {
+        try (Client client = program.client()) {
+            slowly(client, Client.req("/preview", "5000m", "", "body"), 9, 290);
+            backend.take().done("r");
+            assertEquals(200, client.read().status());
+        }
+    }
+
+    @Test void halfAReqIsToldSoAfterTwoSecondsOfSilence() throws IOException {
+        try (Client client = program.client()) {
+            long before = System.nanoTime();
+            client.send("POST /preview HTTP/1.1\r\nHost: x\r\n");
+            assertEquals(408, client.read().status());
+            assertTrue(System.nanoTime() - before < 3_000_000_000L);
+        }
+    }
+
+    @Test void aReqThatComesBitByBitForEverEndsInTime() throws IOException, InterruptedException {
+        try (Client client = program.client()) {
+            long before = System.nanoTime();
+            client.send("POST /preview HTTP/1.1\r\nX-A: ");
+            while (client.unread() == 0 && System.nanoTime() - before < 12_000_000_000L) {
+                client.send("a");
+                TimeUnit.MILLISECONDS.sleep(200);
+            }
+            assertEquals(408, client.read().status());
+            assertTrue(System.nanoTime() - before < 9_500_000_000L);
+        }
+    }
+
+    /** Ten times as many as there is room for, silent or halfway; new clients are served, also one that sends slowly. */
+    @Test void aCrowdOfSilentAndHalfWrittenConnectionsKeepsNobodyOut() throws IOException, InterruptedException {
+        List<Client> crowd = new ArrayList<>();
+        try (Client slow = program.client()) {
+            String req = Client.req("/preview", "5000m", "", "body");
+            for (int i = 0; i < 500; i++) {
+                crowd.add(program.client());
+                if (i % 2 == 0) {
+                    crowd.get(i).send("POST /preview HTTP/1.1\r\nHost: x\r\nX-Req");
+                }
+                if (i % 50 == 0) {
+                    slow.send(req.substring(i / 50 * (req.length() - 1) / 10, (i / 50 + 1) * (req.length() - 1) / 10));
+                }
+                if (i % 100 == 99) {
+                    long before = System.nanoTime();
+                    try (Client client = program.client()) {
+                        client.send(Client.req("/preview", "5000m", "", ""));
+                        backend.take().done("r");
+                        assertEquals(200, client.read().status());
+                    }
+                    assertTrue(System.nanoTime() - before < 3_000_000_000L, "served in time, crowd of " + i);
+                    assertEquals("200 ready\n", program.call("HEALTH"));
+                }
+            }
+            slow.send(req.substring(req.length() - 1));
+            backend.take().done("slow");
+            assertEquals("slow", slow.read().body());
+        }
+        for (Client client : crowd) {
+            client.close();
+        }
+    }
+}
