Hand what the module has learnt on to the next process

Need: a new process knows neither how long jobs run nor how much a kind has free, sends nothing to cold runners until a class's first job has ended, and holds jobs by guesses; the process before knows.

--- a/src/main/java/badgermux/OnCall.java
+++ b/src/main/java/badgermux/OnCall.java
@@ -16,6 +16,7 @@
 import badgermux.upgrade.Link;
 import badgermux.upgrade.Succession;
 import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import io.netty.bootstrap.Bootstrap;
@@ -37,6 +38,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
@@ -88,6 +90,8 @@
     private Link before;
     private Link after;
     private boolean afterServes;
+    /** What the module of the process before has learnt. */
+    private double[] learnt = {};
     private Deadlines.Deadline beating;
     /** Told the list that the process before this one holds, or null. */
     private Consumer<ListDecoder.Listing> following;
@@ -155,6 +159,7 @@
         sockets = descriptors;
         console = new Console(loop, deadlines, counts, this, Room.of(sockets, true).callers());
         share();
+        engine.recall(learnt);
         if (before != null) {
             beat();
         }
@@ -265,6 +270,11 @@
         JsonObject back = new JsonObject();
         hands.back().forEach((id, at) -> back.addProperty(id, clock.toUnixMillis(at)));
         state.add("back", back);
+        JsonArray learnt = new JsonArray();
+        for (double figure : engine.learnt()) {
+            learnt.add(figure);
+        }
+        state.add("learnt", learnt);
         after.send(TOLD + state);
         Logger.info("the next process is here");
         beat();
@@ -329,6 +339,8 @@
                 Map<String, Long> back = new HashMap<>();
                 state.getAsJsonObject("back").entrySet()
                     .forEach(e -> back.put(e.getKey(), clock.fromUnixMillis(e.getValue().getAsLong())));
+                List<JsonElement> figures = state.getAsJsonArray("learnt").asList();
+                learnt = figures.stream().mapToDouble(JsonElement::getAsDouble).toArray();
                 listing = ListDecoder.decode(state.get("list").toString());
                 hands.become(out, back);
                 succession.linked();
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -182,6 +182,16 @@
         return f;
     }
 
+    /** What the module has learnt, for the next process. */
+    public double[] learnt() {
+        return module.learnt();
+    }
+
+    /** Has the module go on from what another process has learnt. */
+    public void recall(double[] learnt) {
+        module.recall(learnt);
+    }
+
     /** Whether the module gives a backend no work now. */
     public boolean avoids(long backend) {
         return module.avoids(clock.getAsLong(), backend);
--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -311,6 +311,12 @@
     /** A timer asked for has come due. */
     void timer(long now, int token);
 
+    /** What has been learnt of classes and kinds, for the next process with the same settings. */
+    double[] learnt();
+
+    /** Goes on from what another process has learnt; figures that these settings can't have are passed over. */
+    void recall(double[] learnt);
+
     /** Whether a worker gets no work now: it is unknown, not ready, set aside, or leaves probes unanswered. */
     boolean avoids(long now, long worker);
 }
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 
 /** All decisions of one dispatcher, single-threaded. Interface: Dispatch.java; reasons: docs/design.md. */
@@ -219,6 +220,23 @@
         if (due != null) due.run();
     }
 
+    private double[][] learning() {
+        return new double[][] {kindFree, kindSlots, kindPace, meanRun, runs, runPerHint, longest};
+    }
+
+    @Override public double[] learnt() {
+        return DoubleStream.concat(DoubleStream.of(slotRun, part),
+            Arrays.stream(learning()).flatMapToDouble(Arrays::stream)).toArray();
+    }
+
+    @Override public void recall(double[] learnt) {
+        if (learnt.length != learnt().length) return;
+        int at = 2;
+        for (double[] of : learning()) for (int i = 0; i < of.length; i++) of[i] = learnt[at++];
+        slotRun = learnt[0];
+        part = learnt[1];
+    }
+
     @Override public boolean avoids(long time, long worker) {
         now = time;
         Server w = servers.get(worker);
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -60,6 +60,12 @@
     }
 
     private final class Module implements Dispatch {
+        @Override public double[] learnt() {
+            return new double[0];
+        }
+
+        @Override public void recall(double[] learnt) { }
+
         @Override public boolean avoids(long time, long worker) {
             return false;
         }
--- a/src/test/java/badgermux/decide/DecisionsTest.java
+++ b/src/test/java/badgermux/decide/DecisionsTest.java
@@ -6,6 +6,7 @@
 import static badgermux.decide.Rig.SECOND;
 import static badgermux.decide.Rig.fleet;
 import static badgermux.decide.Rig.worker;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -19,6 +20,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -50,6 +52,32 @@
         }
     }
 
+    // ---- From one process to the next
+
+    @Test void whatWasLearntGoesOnAndFiguresOfOtherSettingsDont() {
+        rig.start(fleet(6));
+        known(4, 6);
+        double[] learnt = rig.module.learnt();
+        Rig next = new Rig();
+        next.start(fleet(6));
+        next.module.recall(new double[learnt.length - 1]);
+        assertEquals(0, next.module.learnt()[0]);
+        next.module.recall(learnt);
+        assertArrayEquals(learnt, next.module.learnt());
+        assertTrue(Arrays.stream(learnt).anyMatch(x -> Math.abs(x - 4 * SECOND) < SECOND), "how long jobs run");
+    }
+
+    @Test void oneThatDrainsIsAvoidedAndLeftNoIdleConnection() {
+        probing().start(fleet(3));
+        assertFalse(rig.module.avoids(rig.did.now, 1));
+        rig.list(ListUpdate.DELTA, worker(1, WorkerState.DRAINING, 0));
+        assertTrue(rig.module.avoids(rig.did.now, 1));
+        assertTrue(rig.module.avoids(rig.did.now, 99), "nobody knows it");
+        int released = rig.did.released.size();
+        rig.report(1, 4);
+        assertEquals(released + 1, rig.did.released.size(), "the probe's connection");
+    }
+
     // ---- The mechanism
 
     @Test void theLowerTotalWinsAndItsLeastLoadedWorkerTakesTheJob() {
