--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 
 /** All decisions of one dispatcher, single-threaded. Interface: Dispatch.java; reasons: docs/design.md. */
@@ -204,6 +205,7 @@
         if (zones != null) zones.probed(now, worker, answered, w.cap);
         w.asking.forEach(r -> heard(r, 1));
         w.asking.clear();
+        closeIdle(w);
     }
 
     @Override public void clientGone(long time, long job) {
@@ -218,6 +220,29 @@
         if (due != null) due.run();
     }
 
+    private double[][] learning() {
+        return new double[][] {kindFree, kindSlots, kindPace, meanRun, runs, runPerHint, longest};
+    }
+
+    @Override public double[] learnt() {
+        return DoubleStream.concat(DoubleStream.of(slotRun, part),
+            Arrays.stream(learning()).flatMapToDouble(Arrays::stream)).toArray();
+    }
+
+    @Override public void recall(double[] learnt) {
+        if (learnt.length != learnt().length) return;
+        int at = 2;
+        for (double[] of : learning()) for (int i = 0; i < of.length; i++) of[i] = learnt[at++];
+        slotRun = learnt[0];
+        part = learnt[1];
+    }
+
+    @Override public boolean avoids(long time, long worker) {
+        now = time;
+        Server w = servers.get(worker);
+        return w == null || w.state != WorkerState.READY || w.silent || resting(w);
+    }
+
     private void after(long delay, Runnable what) {
         timers.put(nextToken, what);
         act.timer(Math.max(delay, s.tick), nextToken++);
@@ -335,9 +360,12 @@
         return w.cap < 1 ? kindSlots[w.info.kind()] : w.cap;
     }
 
+    private boolean resting(Server w) {
+        return w.suspect && (now < w.restUntil || !w.out.isEmpty());
+    }
+
     private boolean eligible(Server w, Request r, int leniency) {
-        boolean resting = w.suspect && (now < w.restUntil || !w.out.isEmpty());
-        resting |= now < w.restFor.getOrDefault(r.job.tenant(), 0L);
+        boolean resting = resting(w) || now < w.restFor.getOrDefault(r.job.tenant(), 0L);
         if (w.state != WorkerState.READY || resting && leniency < 1) return false;
         for (Attempt a : r.attempts) {
             // Rule 2: a keyed job that may have run stays with the workers that drop its repeats.
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -15,6 +15,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -33,6 +35,8 @@
     private static final long QUIET_CHECK = 50_000;
     /** A client sends as soon as it is connected. One that has not by then may have to make room for others. */
     static final long SPARED = 300_000;
+    /** The same while nobody more can be let in: what had come by then has been read. */
+    static final long SPARED_IN_NEED = 60_000;
     /** How soon those who wait to be accepted are looked after again, while there is no room. */
     private static final long ACCEPT_AGAIN = 20_000;
     /** When a req that is refused here, for want of room, should come again. */
@@ -46,14 +50,16 @@
     private final List<Long> patience;
     private final Set<Integer> keyed;
     private final BooleanSupplier ready;
-    private final int cap;
-    private final int overCap;
+    private int cap;
+    private int overCap;
     private final long maxHeld;
     private final long comeBack;
     private final Gate gate;
     private final LinkedHashSet<FrontConnection> connections = new LinkedHashSet<>();
-    /** Those of which no whole request has come yet, the oldest first. */
+    /** Those of which nothing has come yet, the oldest first. */
     private final LinkedHashSet<FrontConnection> fresh = new LinkedHashSet<>();
+    /** Those that have begun a request, the one that has said nothing for longest first. */
+    private final LinkedHashSet<FrontConnection> halfway = new LinkedHashSet<>();
     /** Those between two requests that never brought a req, or that were rejected and are about to end. */
     private final LinkedHashSet<FrontConnection> strangers = new LinkedHashSet<>();
     /** Those between two reqs, the one that has been so longest first. */
@@ -63,7 +69,10 @@
     private Channel listener;
     private Deadlines.Deadline acceptAgain;
     private long held;
+    private boolean inherited;
+    private boolean handedOver;
     private boolean draining;
+    private long drainedFrom;
 
     /**
      * Makes a front that does not listen yet.
@@ -97,16 +106,66 @@
 
     /** Listens on this address only. */
     public ChannelFuture listen(EventLoopGroup loop, InetSocketAddress at) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
+        ChannelFuture bound = bootstrap(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true).bind(at);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /**
+     * Serves clients of a socket that listens already and that other processes hold, too. It is never closed here: Java
+     * would close the standard output with it.
+     *
+     * @param accepts whether to accept at once, and not only after {@link #takeBack}
+     */
+    public ChannelFuture listen(EventLoopGroup loop, ServerSocketChannel held, boolean accepts) {
+        inherited = true;
+        handedOver = !accepts;
+        ChannelFuture registered = bootstrap(loop).channelFactory(() -> new NioServerSocketChannel(held))
+            .option(ChannelOption.AUTO_READ, accepts).register();
+        listener = registered.channel();
+        return registered;
+    }
+
+    private ServerBootstrap bootstrap(EventLoopGroup loop) {
+        return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     channel.pipeline().addLast(new FrontConnection(Front.this, channel));
                 }
-            }).bind(at);
-        listener = bound.channel();
-        return bound;
+            });
+    }
+
+    /** Bounds connections anew, as the constructor says it. */
+    public void limit(int most, int beyond) {
+        cap = most;
+        overCap = beyond;
+    }
+
+    /**
+     * Another process serves the same socket from here on: none are accepted, clients between two reqs are closed, and
+     * the others once they have their answer, so that what they send next goes to that process.
+     */
+    public void handOver() {
+        if (!handedOver && !draining) {
+            handedOver = true;
+            stopAccepting();
+            closeResting();
+        }
+    }
+
+    /** Accepts again. */
+    public void takeBack() {
+        if (handedOver && !draining) {
+            handedOver = false;
+            listener.config().setAutoRead(true);
+        }
+    }
+
+    private void stopAccepting() {
+        deadlines.cancel(acceptAgain);
+        acceptAgain = null;
+        listener.config().setAutoRead(false);
     }
 
     /** Winds up: serves what comes during the changeover, answers all that was taken, then runs {@code quiet}. */
@@ -115,6 +174,15 @@
             return;
         }
         draining = true;
+        drainedFrom = now();
+        if (inherited) {
+            // Who connects from here on waits in the socket's queue for the next process, and is not refused.
+            stopAccepting();
+        }
+        if (handedOver) {
+            whenQuiet(quiet);
+            return;
+        }
         deadlines.after(KEPT_ON, this::closeResting);
         deadlines.after(CHANGEOVER, () -> whenQuiet(quiet));
     }
@@ -123,8 +191,13 @@
         closeResting();
         // Guards against a first req that crosses its connection's close: only those that say nothing are closed.
         List.copyOf(fresh).stream().filter(c -> now() - c.openedAt() >= SPARED).forEach(FrontConnection::close);
+        // Guards against a req that has come whole so late that it can't be answered before we are killed.
+        List.copyOf(halfway).stream().filter(c -> now() >= drainedFrom + CHANGEOVER
+            || !c.isMoving() && now() - c.heardAt() >= SPARED).forEach(FrontConnection::close);
         if (connections.isEmpty() && engine.open() == 0) {
-            listener.close();
+            if (!inherited) {
+                listener.close();
+            }
             quiet.run();
         } else {
             deadlines.after(QUIET_CHECK, () -> whenQuiet(quiet));
@@ -145,7 +218,7 @@
         }
         connections.add(connection);
         fresh.add(connection);
-        if (connections.size() >= cap + overCap && acceptAgain == null) {
+        if (connections.size() >= cap + overCap && acceptAgain == null && listener.config().isAutoRead()) {
             listener.config().setAutoRead(false);
             acceptAgain = deadlines.after(ACCEPT_AGAIN, this::acceptAgain);
         }
@@ -153,14 +226,15 @@
 
     /**
      * Closes the connection that will be missed least, if there is one: a stranger's, then one that has said nothing
-     * for a while, then a client's between two reqs, which sends what crosses the close once more.
+     * for a while, then one that left half a request behind, then a client's between two reqs, which sends what crosses
+     * the close once more. One whose request goes on coming is let be.
      */
     private boolean makeRoom() {
+        long silentSince = now() - (connections.size() < cap + overCap ? SPARED : SPARED_IN_NEED);
         FrontConnection victim = first(strangers);
-        if (victim == null) {
-            FrontConnection oldest = first(fresh);
-            victim = oldest != null && now() - oldest.openedAt() >= SPARED ? oldest : first(resting);
-        }
+        victim = victim == null ? longSilent(fresh, silentSince) : victim;
+        victim = victim == null ? longSilent(halfway, now() - SPARED) : victim;
+        victim = victim == null ? first(resting) : victim;
         if (victim == null) {
             return false;
         }
@@ -170,6 +244,19 @@
         return true;
     }
 
+    /** The first that is not moving and has said nothing since a time; null where there is none. */
+    private static FrontConnection longSilent(LinkedHashSet<FrontConnection> of, long since) {
+        for (FrontConnection connection : of) {
+            if (connection.heardAt() > since) {
+                return null;
+            }
+            if (!connection.isMoving()) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
     private static FrontConnection first(LinkedHashSet<FrontConnection> of) {
         return of.isEmpty() ? null : of.iterator().next();
     }
@@ -188,6 +275,14 @@
         }
     }
 
+    /** A request has begun to come, and goes on. */
+    void halfway(FrontConnection connection) {
+        if (connections.contains(connection)) {
+            leavesSets(connection);
+            halfway.add(connection);
+        }
+    }
+
     void rests(FrontConnection connection) {
         if (connections.contains(connection)) {
             leavesSets(connection);
@@ -212,6 +307,7 @@
 
     private void leavesSets(FrontConnection connection) {
         fresh.remove(connection);
+        halfway.remove(connection);
         strangers.remove(connection);
         resting.remove(connection);
     }
@@ -229,8 +325,9 @@
         openIds.remove(id);
     }
 
-    boolean isDraining() {
-        return draining;
+    /** Whether clients are to go elsewhere with what they send next. */
+    boolean isLeaving() {
+        return draining || handedOver;
     }
 
     /** Whether as many reqs as connections are served wait for their answer: one more is turned away. */
@@ -259,7 +356,18 @@
     }
 
     boolean isReady() {
-        return ready.getAsBoolean() && !draining;
+        return notReady() == null;
+    }
+
+    /** Why reqs can't be served here; null where they can. */
+    public String notReady() {
+        return draining ? "this process is ending" : !listener.isActive() ? "clients can't connect yet"
+            : ready.getAsBoolean() ? null : "there is no list of runners yet";
+    }
+
+    /** Where clients connect. */
+    public SocketAddress address() {
+        return listener.localAddress();
     }
 
     /** Null where there is none. */
--- a/src/test/java/badgermux/it/ServeIT.java
+++ b/src/test/java/badgermux/it/ServeIT.java
@@ -279,7 +279,7 @@
                 clients.add(small.client().send(Client.req("/preview", "5000m", "", "")));
             }
             assertTrue(resting.isEnded(), "the one that rests is closed");
-            while (small.count("reqs_open") < cap) {
+            while (small.count("current") < cap) {
                 Thread.onSpinWait();
             }
             Client.Answer over = small.client().ask("/preview");
@@ -300,7 +300,7 @@
     }
 
     @Test void aConnectionThatWeCantSpareIsNoFaultOfTheBackend() throws IOException, InterruptedException {
-        int spared = 18;    // what 128 descriptors leave for backends
+        int spared = 42;    // what 128 descriptors leave for backends
         try (Program small = new Program(folder, member("s-1", backend, "east", "SERVING"), 128, Program.SETTINGS)) {
             List<Client> clients = new ArrayList<>();
             List<Peer.Call> calls = new ArrayList<>();
