Write down where the next process calls once calls are listened for

Cause: OnCall.beat says SERVING and writes the address while the console does not listen yet, so that nothing was written. Change: written when both hold. The test of two upgrades fails without it.

--- a/src/main/java/badgermux/OnCall.java
+++ b/src/main/java/badgermux/OnCall.java
@@ -168,7 +168,8 @@
     ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = console.listen(at);
         bound.addListener(done -> {
-            if (done.isSuccess() && before == null) {
+            // Guards against a next process that finds nobody to ask: this one may serve before it listens for calls.
+            if (done.isSuccess() && (before == null || succession.isServing())) {
                 writeAddress();
             }
         });
--- a/src/test/java/badgermux/it/UpgradeIT.java
+++ b/src/test/java/badgermux/it/UpgradeIT.java
@@ -268,6 +268,7 @@
         second.signal("TERM");
         first.join();
         second.join();
+        assertTrue(second.log().contains("handed over"), "the second was asked by the third");
         int then = load.served.get();
         while (load.served.get() < then + 20) {
             TimeUnit.MILLISECONDS.sleep(5);
