Leave what cold runners were sent to the next process, and believe the list's start of a runner that was out

Ruled out: set-aside runners (0 to 2) and silent ones (0). Cause: withinColdBudget sends nothing for a window after the start, since what was pushed before is not known; and a runner that was out counted as started at its return, 4 s after its restart. Change: Dispatch.leave and inherit, the figures learnt and the pushes of the window, taken once the old process rests its cold runners; Hands keeps since when a runner was out.

--- a/src/main/java/badgermux/OnCall.java
+++ b/src/main/java/badgermux/OnCall.java
@@ -13,10 +13,10 @@
 import badgermux.http.Address;
 import badgermux.metrics.Metrics;
 import badgermux.operator.OutFolder;
+import badgermux.upgrade.Heritages;
 import badgermux.upgrade.Link;
 import badgermux.upgrade.Succession;
 import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import io.netty.bootstrap.Bootstrap;
@@ -36,11 +36,8 @@
 import java.security.MessageDigest;
 import java.security.SecureRandom;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.HexFormat;
-import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
@@ -90,8 +87,6 @@
     private Link before;
     private Link after;
     private boolean afterServes;
-    /** What the module of the process before has learnt. */
-    private double[] learnt = {};
     private Deadlines.Deadline beating;
     /** Told the list that the process before this one holds, or null. */
     private Consumer<ListDecoder.Listing> following;
@@ -130,11 +125,11 @@
     private OutFolder open(Path kept, long coldFor) {
         try {
             OutFolder opened = OutFolder.open(kept);
-            opened.out().forEach(hands::takeOut);
-            opened.back(System.currentTimeMillis() - coldFor / 1000)
-                .forEach((id, millis) -> hands.cameBack(id, clock.fromUnixMillis(millis)));
+            opened.out().forEach((id, millis) -> hands.takeOut(id, clock.fromUnixMillis(millis)));
+            opened.back(System.currentTimeMillis() - coldFor / 1000).forEach((id, millis) -> hands.cameBack(id,
+                new Hands.Absence(clock.fromUnixMillis(millis[0]), clock.fromUnixMillis(millis[1]))));
             if (!hands.out().isEmpty()) {
-                Logger.info("out by hand: {}", hands.out());
+                Logger.info("out by hand: {}", hands.out().keySet());
             }
             return opened;
         } catch (IOException e) {
@@ -159,7 +154,6 @@
         sockets = descriptors;
         console = new Console(loop, deadlines, counts, this, Room.of(sockets, true).callers());
         share();
-        engine.recall(learnt);
         if (before != null) {
             beat();
         }
@@ -265,17 +259,17 @@
         share();
         JsonObject state = new JsonObject();
         state.add("list", director.held());
-        JsonArray out = new JsonArray();
-        hands.out().forEach(out::add);
+        JsonObject out = new JsonObject();
+        hands.out().forEach((id, at) -> out.addProperty(id, clock.toUnixMillis(at)));
         state.add("out", out);
         JsonObject back = new JsonObject();
-        hands.back().forEach((id, at) -> back.addProperty(id, clock.toUnixMillis(at)));
+        hands.back().forEach((id, absence) -> {
+            JsonArray times = new JsonArray();
+            times.add(clock.toUnixMillis(absence.from()));
+            times.add(clock.toUnixMillis(absence.to()));
+            back.add(id, times);
+        });
         state.add("back", back);
-        JsonArray learnt = new JsonArray();
-        for (double figure : engine.learnt()) {
-            learnt.add(figure);
-        }
-        state.add("learnt", learnt);
         after.send(TOLD + state);
         Logger.info("the next process is here");
         beat();
@@ -307,16 +301,26 @@
             followed(line);
             return;
         }
+        try {
+            said(link, line);
+        } catch (RuntimeException e) {
+            // Guards against another version's lines: they change nothing, and the upgrade goes on.
+            Logger.warn("a line of the other process can't be read: {}", e.toString());
+        }
+    }
+
+    private void said(Link link, String line) {
         String[] parts = line.split(" ");
         switch (parts[0]) {
             case "SERVING" -> handOver(link);
+            case "LEFT" -> engine.inherit(Heritages.decode(line.substring(parts[0].length())));
             case "OPEN" -> {
                 if (link == before) {
                     succession.open(Integer.parseInt(parts[1]));
                 }
             }
             case "OUT" -> {
-                hands.takeOut(parts[1]);
+                hands.takeOut(parts[1], clock.now());
                 director.seenAnew(parts[1]);
                 pass(link, line);
             }
@@ -335,13 +339,13 @@
         try {
             if (line.startsWith(TOLD)) {
                 JsonObject state = JsonParser.parseString(line.substring(TOLD.length())).getAsJsonObject();
-                Set<String> out = new HashSet<>();
-                state.getAsJsonArray("out").forEach(id -> out.add(id.getAsString()));
-                Map<String, Long> back = new HashMap<>();
-                state.getAsJsonObject("back").entrySet()
-                    .forEach(e -> back.put(e.getKey(), clock.fromUnixMillis(e.getValue().getAsLong())));
-                List<JsonElement> figures = state.getAsJsonArray("learnt").asList();
-                learnt = figures.stream().mapToDouble(JsonElement::getAsDouble).toArray();
+                Map<String, Long> out = new HashMap<>();
+                state.getAsJsonObject("out").entrySet()
+                    .forEach(e -> out.put(e.getKey(), clock.fromUnixMillis(e.getValue().getAsLong())));
+                Map<String, Hands.Absence> back = new HashMap<>();
+                state.getAsJsonObject("back").entrySet().forEach(e -> back.put(e.getKey(), new Hands.Absence(
+                    clock.fromUnixMillis(e.getValue().getAsJsonArray().get(0).getAsLong()),
+                    clock.fromUnixMillis(e.getValue().getAsJsonArray().get(1).getAsLong()))));
                 listing = ListDecoder.decode(state.get("list").toString());
                 hands.become(out, back);
                 succession.linked();
@@ -365,6 +369,7 @@
             // What is left to answer here needs no cold runner; their budget is the next process's.
             hands.restCold(clock.now());
             director.allSeenAnew();
+            to.send("LEFT " + Heritages.encode(engine.leave()));
             front.handOver();
             Logger.info("handed over: the next process serves");
         }
@@ -435,8 +440,9 @@
         }
         boolean was = hands.isOut(id);
         // At once: what is not sent while the file is written is not missed.
-        hands.takeOut(id);
+        hands.takeOut(id, clock.now());
         director.seenAnew(id);
+        Logger.info("{} is out by hand", id);
         keep(id, kept -> kept.takeOut(id), (why, last) -> {
             if (why != null && !was && last) {
                 hands.putBack(id, clock.now());
@@ -453,13 +459,15 @@
             told.accept(director.names(id) ? null : "no runner has the id " + id);
             return;
         }
-        keep(id, kept -> kept.putBack(id), (why, last) -> {
+        long since = clock.toUnixMillis(hands.outSince(id));
+        keep(id, kept -> kept.putBack(id, since), (why, last) -> {
             // Guards against a runner in use that a later call has taken out: the last call counts.
             if (why == null && last) {
                 long now = clock.now();
                 hands.putBack(id, now);
                 director.seenAnew(id);
                 pass(null, "BACK " + id + ' ' + clock.toUnixMillis(now));
+                Logger.info("{} is back by hand", id);
             }
             told.accept(why);
         });
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -182,14 +182,14 @@
         return f;
     }
 
-    /** What the module has learnt, for the next process. */
-    public double[] learnt() {
-        return module.learnt();
+    /** What the module leaves to the next process. */
+    public Dispatch.Heritage leave() {
+        return module.leave();
     }
 
-    /** Has the module go on from what another process has learnt. */
-    public void recall(double[] learnt) {
-        module.recall(learnt);
+    /** Has the module go on from what the process before left. */
+    public void inherit(Dispatch.Heritage left) {
+        module.inherit(left);
     }
 
     /** Whether the module gives a backend no work now. */
--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -190,6 +190,12 @@
         }
     }
 
+    /** Work sent to a cold worker: when, and how many microseconds of a slot were expected of it. */
+    record Push(long worker, long at, double work) { }
+
+    /** What one process leaves to the next: what it has learnt of classes and kinds, and what cold workers were sent lately. */
+    record Heritage(double[] learnt, List<Push> pushes) { }
+
     /** A client's request; {@code hint} is its expected work on a standard core, 0 where unknown. */
     record Job(long id, int jobClass, int tenant, double slots, long hint, long left) {
         public Job {
@@ -311,11 +317,11 @@
     /** A timer asked for has come due. */
     void timer(long now, int token);
 
-    /** What has been learnt of classes and kinds, for the next process with the same settings. */
-    double[] learnt();
+    /** What is left to the next process with the same settings. Nothing may be sent to cold workers from then on. */
+    Heritage leave();
 
-    /** Goes on from what another process has learnt; figures that these settings can't have are passed over. */
-    void recall(double[] learnt);
+    /** Goes on from what the process before left, which was just now; figures that these settings can't have are passed over. */
+    void inherit(Heritage left);
 
     /** Whether a worker gets no work now: it is unknown, not ready, set aside, or leaves probes unanswered. */
     boolean avoids(long now, long worker);
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -47,7 +47,8 @@
         long changedAt, usedAt = Long.MIN_VALUE / 4, restUntil, rest = FIRST_REST;
         long reportedAt = Long.MIN_VALUE / 4, probedAt = Long.MIN_VALUE / 4;
         int listed;
-        final List<Attempt> out = new ArrayList<>(), coldSends = new ArrayList<>();
+        final List<Attempt> out = new ArrayList<>();
+        final List<Push> coldSends = new ArrayList<>(0);
         final List<Request> asking = new ArrayList<>(0);
         final Map<Integer, Long> restFor = new HashMap<>(0);
     }
@@ -224,17 +225,21 @@
         return new double[][] {kindFree, kindSlots, kindPace, meanRun, runs, runPerHint, longest};
     }
 
-    @Override public double[] learnt() {
-        return DoubleStream.concat(DoubleStream.of(slotRun, part),
-            Arrays.stream(learning()).flatMapToDouble(Arrays::stream)).toArray();
+    @Override public Heritage leave() {
+        DoubleStream learnt = Arrays.stream(learning()).flatMapToDouble(Arrays::stream);
+        return new Heritage(DoubleStream.concat(DoubleStream.of(slotRun, part), learnt).toArray(),
+            servers.values().stream().flatMap(w -> w.coldSends.stream()).toList());
     }
 
-    @Override public void recall(double[] learnt) {
-        if (learnt.length != learnt().length) return;
+    @Override public void inherit(Heritage left) {
+        if (left.learnt().length != leave().learnt().length) return;
         int at = 2;
-        for (double[] of : learning()) for (int i = 0; i < of.length; i++) of[i] = learnt[at++];
-        slotRun = learnt[0];
-        part = learnt[1];
+        for (double[] of : learning()) for (int i = 0; i < of.length; i++) of[i] = left.learnt()[at++];
+        slotRun = left.learnt()[0];
+        part = left.learnt()[1];
+        bornAt -= s.fallWindow;     // what was pushed before is known
+        left.pushes().stream().filter(p -> servers.containsKey(p.worker()))
+            .forEach(p -> servers.get(p.worker()).coldSends.add(p));
     }
 
     @Override public boolean avoids(long time, long worker) {
@@ -478,7 +483,7 @@
         if (a.idle > keepAlive) a.idle = 0;
         a.roomy = load(w) + r.job.slots() <= TIE;
         w.out.add(a);
-        if (cold(w)) w.coldSends.add(a);
+        if (cold(w)) w.coldSends.add(new Push(w.info.id(), now, expectedRun(r) * r.job.slots()));
         double work = Math.max(slotRun / 4, expectedRun(r)) * r.job.slots() / 1e6;
         if (zones != null) zones.sent(now, r.job, r.attempts.size() - 1, w.info, work);
         act.send(r.job.id(), w.info.id());
@@ -728,8 +733,8 @@
         double job = expectedRun(r) * r.job.slots(), sent = 0;
         // After our own restart what we pushed before is unknown, and how long jobs run: nothing goes there.
         if (now - bornAt < s.fallWindow || job <= 0) return false;
-        w.coldSends.removeIf(a -> a.sentAt <= now - s.fallWindow);
-        for (Attempt a : w.coldSends) sent += expectedRun(a.request) * a.request.job.slots();
+        w.coldSends.removeIf(p -> p.at() <= now - s.fallWindow);
+        for (Push p : w.coldSends) sent += p.work();
         double age = Math.max(0, now - startedAt(w)) / (double) s.coldFor;
         double capacity = Math.max(1, slots(w)) * (s.coldShare + (1 - s.coldShare) * age);
         // Guards against even parts that hold no job: all sent what we did, those before us in turn one more.
--- a/src/main/java/badgermux/hand/Hands.java
+++ b/src/main/java/badgermux/hand/Hands.java
@@ -3,18 +3,20 @@
 import badgermux.decide.Dispatch;
 import badgermux.decide.Dispatch.WorkerState;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The runners that are out by hand, by the director's ids, and when those came back that did. One that is out is seen as
- * draining, whatever the list says of it; one that has come back as started at that moment, since operators restart a
- * runner while it is out. Times are microseconds on one clock, which the caller gives.
+ * draining, whatever the list says of it. Operators restart a runner while it is out: one that has come back counts as
+ * started when the list says so, if that is since it was taken out, and as started at its return until then. Times are
+ * microseconds on one clock, which the caller gives.
  */
 public final class Hands {
-    private final Set<String> out = new HashSet<>();
-    private final Map<String, Long> back = new HashMap<>();
+    /** When a runner was taken out, and when it came back. */
+    public record Absence(long from, long to) { }
+
+    private final Map<String, Long> out = new HashMap<>();
+    private final Map<String, Absence> back = new HashMap<>();
     private final long coldFor;
     /** Runners that started after this are seen as draining. */
     private long restSince = Long.MAX_VALUE;
@@ -25,43 +27,49 @@
     }
 
     /** Takes a runner out; one that is out already stays so, and one call puts it back. */
-    public void takeOut(String id) {
-        out.add(id);
+    public void takeOut(String id, long at) {
+        out.putIfAbsent(id, at);
     }
 
     /** Puts a runner back at a time; nothing happens to one that is not out. */
     public void putBack(String id, long at) {
-        if (out.remove(id)) {
-            back.values().removeIf(then -> then < at - coldFor);
-            back.put(id, at);
+        Long from = out.remove(id);
+        if (from != null) {
+            back.values().removeIf(absence -> absence.to < at - coldFor);
+            back.put(id, new Absence(from, at));
         }
     }
 
-    /** A runner that came back before we knew of it; the latest time counts. */
-    public void cameBack(String id, long at) {
-        back.merge(id, at, Math::max);
+    /** A runner that came back before we knew of it. */
+    public void cameBack(String id, Absence absence) {
+        back.put(id, absence);
     }
 
     /** Whether a runner is out. */
     public boolean isOut(String id) {
-        return out.contains(id);
+        return out.containsKey(id);
+    }
+
+    /** When a runner was taken out; 0 for one that is not. */
+    public long outSince(String id) {
+        return out.getOrDefault(id, 0L);
     }
 
-    /** All that are out. */
-    public Set<String> out() {
-        return Set.copyOf(out);
+    /** All that are out, and since when. */
+    public Map<String, Long> out() {
+        return Map.copyOf(out);
     }
 
-    /** When runners came back, of those that may still be cold. */
-    public Map<String, Long> back() {
+    /** When runners were away, of those back that may still be cold. */
+    public Map<String, Absence> back() {
         return Map.copyOf(back);
     }
 
     /** Forgets all, and goes by what the process before this one held. */
-    public void become(Set<String> nowOut, Map<String, Long> cameBack) {
+    public void become(Map<String, Long> nowOut, Map<String, Absence> cameBack) {
         out.clear();
         back.clear();
-        out.addAll(nowOut);
+        out.putAll(nowOut);
         back.putAll(cameBack);
     }
 
@@ -75,8 +83,9 @@
 
     /** A runner of the list as the module is to see it. */
     public Dispatch.Worker seen(String id, Dispatch.Worker listed) {
-        long started = Math.max(listed.startedAt(), back.getOrDefault(id, 0L));
-        boolean banned = (out.contains(id) || started > restSince) && listed.state() == WorkerState.READY;
+        Absence absence = back.get(id);
+        long started = absence == null || listed.startedAt() > absence.from ? listed.startedAt() : absence.to;
+        boolean banned = (out.containsKey(id) || started > restSince) && listed.state() == WorkerState.READY;
         if (!banned && started == listed.startedAt()) {
             return listed;
         }
--- a/src/main/java/badgermux/operator/OutFolder.java
+++ b/src/main/java/badgermux/operator/OutFolder.java
@@ -7,15 +7,13 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.Map;
-import java.util.Set;
 import org.tinylog.Logger;
 
 /**
- * Keeps the runners that are out by hand beyond the process: an empty file for each, its name the id in hexadecimal, in
- * one folder for those that are out and one for those that came back. To make or to remove a file is one step, so that a
+ * Keeps the runners that are out by hand beyond the process: a file for each, its name the id in hexadecimal, in one
+ * folder for those that are out and one for those that came back, whose file says since when they had been out. To make or to remove a file is one step, so that a
  * crash leaves the set before or after a call, and two processes that overlap don't undo each other's calls. Used by one
  * thread, which may block.
  */
@@ -40,42 +38,48 @@
         return opened;
     }
 
-    /** The ids of the runners that are out. A file whose name is no id is told in the log, and left alone. */
-    public Set<String> out() throws IOException {
-        return new HashSet<>(read(out).keySet());
+    /** The runners that are out, and since when, as Unix time in milliseconds. A file whose name is no id is left alone. */
+    public Map<String, Long> out() throws IOException {
+        return read(out);
     }
 
-    /** When runners came back, as Unix time in milliseconds; those before {@code since} are forgotten. */
-    public Map<String, Long> back(long since) throws IOException {
-        Map<String, Long> times = read(back);
-        for (String id : Set.copyOf(times.keySet())) {
-            if (times.get(id) < since) {
-                times.remove(id);
-                Files.deleteIfExists(back.resolve(name(id)));
+    /** When runners were away, as Unix times in milliseconds; those back before {@code since} are forgotten. */
+    public Map<String, long[]> back(long since) throws IOException {
+        Map<String, long[]> absences = new HashMap<>();
+        for (Map.Entry<String, Long> file : read(back).entrySet()) {
+            Path path = back.resolve(name(file.getKey()));
+            if (file.getValue() < since) {
+                Files.deleteIfExists(path);
+            } else {
+                absences.put(file.getKey(), new long[] {from(path, file.getValue()), file.getValue()});
             }
         }
-        return times;
+        return absences;
     }
 
-    /** Keeps that a runner is out. */
-    public void takeOut(String id) throws IOException {
-        touch(out.resolve(name(id)));
-    }
-
-    /** Keeps that a runner has come back; a crash halfway leaves it out. */
-    public void putBack(String id) throws IOException {
-        Path file = back.resolve(name(id));
-        Files.deleteIfExists(file);
-        touch(file);
-        Files.deleteIfExists(out.resolve(name(id)));
+    /** When a runner that is back was taken out; where that can't be read, its return counts. */
+    private static long from(Path file, long otherwise) throws IOException {
+        try {
+            return Long.parseLong(Files.readString(file).strip());
+        } catch (NumberFormatException e) {
+            return otherwise;
+        }
     }
 
-    private static void touch(Path file) throws IOException {
+    /** Keeps that a runner is out. */
+    public void takeOut(String id) throws IOException {
+        Path file = out.resolve(name(id));
         if (!Files.exists(file)) {
             Files.write(file, new byte[0]);
         }
     }
 
+    /** Keeps that a runner has come back that was taken out at a time; a crash halfway leaves it out. */
+    public void putBack(String id, long from) throws IOException {
+        Files.writeString(back.resolve(name(id)), Long.toString(from));
+        Files.deleteIfExists(out.resolve(name(id)));
+    }
+
     private static String name(String id) {
         return HexFormat.of().formatHex(id.getBytes(StandardCharsets.UTF_8));
     }
--- /dev/null
+++ b/src/main/java/badgermux/upgrade/Heritages.java
@@ -0,0 +1,52 @@
+package badgermux.upgrade;
+
+import badgermux.decide.Dispatch.Heritage;
+import badgermux.decide.Dispatch.Push;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the module of one process leaves to that of the next, as one line of JSON. */
+public final class Heritages {
+    private Heritages() { }
+
+    /** The line, without its end. */
+    public static String encode(Heritage left) {
+        JsonArray learnt = new JsonArray();
+        for (double figure : left.learnt()) {
+            learnt.add(Double.isFinite(figure) ? figure : 0);
+        }
+        JsonArray pushes = new JsonArray();
+        for (Push push : left.pushes()) {
+            JsonArray one = new JsonArray();
+            one.add(push.worker());
+            one.add(push.at());
+            one.add(push.work());
+            pushes.add(one);
+        }
+        JsonObject line = new JsonObject();
+        line.add("learnt", learnt);
+        line.add("pushes", pushes);
+        return line.toString();
+    }
+
+    /** What {@link #encode} made the line of; an exception where it made none such. */
+    public static Heritage decode(String line) {
+        try {
+            JsonObject from = JsonParser.parseString(line).getAsJsonObject();
+            double[] learnt = from.getAsJsonArray("learnt").asList().stream().mapToDouble(JsonElement::getAsDouble).toArray();
+            List<Push> pushes = new ArrayList<>();
+            for (JsonElement push : from.getAsJsonArray("pushes")) {
+                JsonArray one = push.getAsJsonArray();
+                pushes.add(new Push(one.get(0).getAsLong(), one.get(1).getAsLong(), one.get(2).getAsDouble()));
+            }
+            return new Heritage(learnt, pushes);
+        } catch (RuntimeException e) {
+            throw new JsonParseException("no heritage: " + e.getMessage());
+        }
+    }
+}
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -60,11 +60,11 @@
     }
 
     private final class Module implements Dispatch {
-        @Override public double[] learnt() {
-            return new double[0];
+        @Override public Heritage leave() {
+            return null;
         }
 
-        @Override public void recall(double[] learnt) { }
+        @Override public void inherit(Heritage left) { }
 
         @Override public boolean avoids(long time, long worker) {
             return false;
--- a/src/test/java/badgermux/decide/DecisionsTest.java
+++ b/src/test/java/badgermux/decide/DecisionsTest.java
@@ -57,14 +57,42 @@
     @Test void whatWasLearntGoesOnAndFiguresOfOtherSettingsDont() {
         rig.start(fleet(6));
         known(4, 6);
-        double[] learnt = rig.module.learnt();
+        Dispatch.Heritage left = rig.module.leave();
         Rig next = new Rig();
         next.start(fleet(6));
-        next.module.recall(new double[learnt.length - 1]);
-        assertEquals(0, next.module.learnt()[0]);
-        next.module.recall(learnt);
-        assertArrayEquals(learnt, next.module.learnt());
-        assertTrue(Arrays.stream(learnt).anyMatch(x -> Math.abs(x - 4 * SECOND) < SECOND), "how long jobs run");
+        next.module.inherit(new Dispatch.Heritage(new double[left.learnt().length - 1], List.of()));
+        assertEquals(0, next.module.leave().learnt()[0]);
+        next.module.inherit(left);
+        assertArrayEquals(left.learnt(), next.module.leave().learnt());
+        assertTrue(Arrays.stream(left.learnt()).anyMatch(x -> Math.abs(x - 4 * SECOND) < SECOND), "how long jobs run");
+    }
+
+    /** A cold worker's budget is spent once, and not by each process anew; what is left of it is used at once. */
+    @Test void theNextProcessGoesOnWithTheBudgetOfColdWorkers() {
+        rig.start(fleet(1));
+        for (int i = 0; i < 4; i++) {
+            rig.serve(PAY, 200 * MS, null);
+        }
+        rig.advance(2 * SECOND);
+        rig.list(ListUpdate.FULL, worker(1, WorkerState.READY, rig.did.now - SECOND));
+        int before = rig.did.sends.size();
+        for (int i = 0; i < 20; i++) {
+            rig.request(PAY);
+        }
+        int sent = rig.did.sends.size() - before;
+        assertTrue(sent > 0 && sent < 20, "the budget allows some: " + sent);
+        Dispatch.Heritage left = rig.module.leave();
+        assertEquals(sent, left.pushes().size());
+        for (boolean spent : new boolean[] {true, false}) {
+            Rig next = new Rig();
+            next.did.now = rig.did.now;
+            next.start(worker(1, WorkerState.READY, rig.did.now - SECOND));
+            next.request(PAY);
+            assertEquals(0, next.did.sends.size(), "what was sent before is not known");
+            next.module.inherit(spent ? left : new Dispatch.Heritage(left.learnt(), List.of()));
+            next.request(PAY);
+            assertEquals(spent, next.did.sends.isEmpty());
+        }
     }
 
     @Test void oneThatDrainsIsAvoidedAndLeftNoIdleConnection() {
--- a/src/test/java/badgermux/hand/HandsTest.java
+++ b/src/test/java/badgermux/hand/HandsTest.java
@@ -25,13 +25,15 @@
         Hands hands = new Hands(COLD);
         Worker ready = listed(WorkerState.READY, 7);
         assertSame(ready, hands.seen("a", ready));
-        hands.takeOut("a");
-        hands.takeOut("a");
+        hands.takeOut("a", 20);
+        hands.takeOut("a", 30);
         assertEquals(listed(WorkerState.DRAINING, 7), hands.seen("a", ready));
         assertEquals(listed(WorkerState.GONE, 0), hands.seen("a", listed(WorkerState.GONE, 0)));
         hands.putBack("a", 50);
         assertEquals(listed(WorkerState.READY, 50), hands.seen("a", ready));
         assertEquals(60, hands.seen("a", listed(WorkerState.READY, 60)).startedAt());
+        assertEquals(21, hands.seen("a", listed(WorkerState.READY, 21)).startedAt(), "restarted while it was out");
+        assertEquals(50, hands.seen("a", listed(WorkerState.READY, 20)).startedAt(), "the list is late");
         hands.putBack("a", 90);
         assertEquals(50, hands.seen("a", ready).startedAt(), "it was not out");
     }
@@ -44,7 +46,7 @@
         for (int i = 0; i < calls.size(); i++) {
             int id = calls.get(i) % 4;
             if (calls.get(i) < 6) {
-                hands.takeOut("r" + id);
+                hands.takeOut("r" + id, i + 1);
                 out.put(id, true);
             } else {
                 hands.putBack("r" + id, i + 1);
