Answer all that is open before the kill that follows SIGTERM, and wait longer with the yes

Ruled out: turned-back connections (0 at the door). Change: at 3.3 s after SIGTERM the module gives up all that is open (Dispatch.ending): refused where asking again is harmless, else failed. The next process's yes comes when the old one has no jobs, or 4.8 s after its own start, of the 6 s that it has (was 3.5 s after it served).

--- a/src/main/java/badgermux/OnCall.java
+++ b/src/main/java/badgermux/OnCall.java
@@ -282,7 +282,7 @@
             return;
         }
         if (before != null && !succession.isServing() && following == null && front.notReady() == null) {
-            succession.serving(clock.now());
+            succession.serving();
             front.takeBack();
             before.send("SERVING");
             writeAddress();
@@ -348,7 +348,7 @@
                     clock.fromUnixMillis(e.getValue().getAsJsonArray().get(1).getAsLong()))));
                 listing = ListDecoder.decode(state.get("list").toString());
                 hands.become(out, back);
-                succession.linked();
+                succession.linked(startedAt());
             }
         } catch (RuntimeException e) {
             listing = null;
@@ -363,6 +363,12 @@
         then.accept(listing);
     }
 
+    /** When this process was started; now, where that is not known. */
+    private long startedAt() {
+        return ProcessHandle.current().info().startInstant().map(at -> clock.fromUnixMillis(at.toEpochMilli()))
+            .orElseGet(clock::now);
+    }
+
     private void handOver(Link to) {
         if (to == after) {
             afterServes = true;
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -192,9 +192,14 @@
         module.inherit(left);
     }
 
+    /** Has all that is open answered now: this process is about to be ended. */
+    public void ending() {
+        tell(0, () -> module.ending(clock.getAsLong()));
+    }
+
     /** Whether the module gives a backend no work now. */
     public boolean avoids(long backend) {
-        return module.avoids(clock.getAsLong(), backend);
+        return module.avoids(backend);
     }
 
     // ---- From the director
--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -323,6 +323,9 @@
     /** Goes on from what the process before left, which was just now; figures that these settings can't have are passed over. */
     void inherit(Heritage left);
 
-    /** Whether a worker gets no work now: it is unknown, not ready, set aside, or leaves probes unanswered. */
-    boolean avoids(long now, long worker);
+    /** The process is about to be ended: all that is open gets its final answer now. */
+    void ending(long now);
+
+    /** Whether a worker gets no work, as of the last event: unknown, not ready, set aside, or silent when probed. */
+    boolean avoids(long worker);
 }
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -238,12 +238,15 @@
         slotRun = left.learnt()[0];
         part = left.learnt()[1];
         bornAt -= s.fallWindow;     // what was pushed before is known
-        left.pushes().stream().filter(p -> servers.containsKey(p.worker()))
-            .forEach(p -> servers.get(p.worker()).coldSends.add(p));
+        left.pushes().forEach(p -> servers.getOrDefault(p.worker(), new Server()).coldSends.add(p));
     }
 
-    @Override public boolean avoids(long time, long worker) {
+    @Override public void ending(long time) {
         now = time;
+        List.copyOf(requests.values()).stream().filter(r -> !r.over).forEach(this::giveUp);
+    }
+
+    @Override public boolean avoids(long worker) {
         Server w = servers.get(worker);
         return w == null || w.state != WorkerState.READY || w.silent || resting(w);
     }
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -32,6 +32,8 @@
     static final long CHANGEOVER = 700_000;
     /** So long clients may use the connections that they have, once more each: the next dispatcher may not be up yet. */
     static final long KEPT_ON = 500_000;
+    /** After SIGTERM the platform waits 3.7 s before it kills: who still waits by then is told what is known. */
+    static final long LAST_ANSWER = 3_300_000;
     private static final long QUIET_CHECK = 50_000;
     /** A client sends as soon as it is connected. One that has not by then may have to make room for others. */
     static final long SPARED = 300_000;
@@ -175,6 +177,7 @@
         }
         draining = true;
         drainedFrom = now();
+        deadlines.after(LAST_ANSWER, engine::ending);
         if (inherited) {
             // Who connects from here on waits in the socket's queue for the next process, and is not refused.
             stopAccepting();
--- a/src/main/java/badgermux/upgrade/Succession.java
+++ b/src/main/java/badgermux/upgrade/Succession.java
@@ -5,32 +5,34 @@
  * come in. Without a process before it, it is ready by itself.
  */
 public final class Succession {
-    /** So long the jobs of the process before are waited for, from when this one serves. */
-    public static final long PATIENCE = 3_500_000;
+    /** The yes is due 6 s after a process's start: so long at most the jobs of the process before are waited for. */
+    public static final long YES_BY = 4_800_000;
 
     private boolean linked;
-    private long servingSince = Long.MAX_VALUE;
+    private boolean serving;
+    private long yesBy;
     /** Jobs open at the process before, as told since this one serves; -1 before that. */
     private int before = -1;
 
-    /** There is a process before this one. */
-    public void linked() {
+    /** There is a process before this one, which was started at a time. */
+    public void linked(long startedAt) {
         linked = true;
+        yesBy = startedAt + YES_BY;
     }
 
     /** This process serves from now on. */
-    public void serving(long now) {
-        servingSince = Math.min(servingSince, now);
+    public void serving() {
+        serving = true;
     }
 
     /** Whether this process has begun to serve. */
     public boolean isServing() {
-        return servingSince != Long.MAX_VALUE;
+        return serving;
     }
 
     /** The process before has handed over and tells how many of its jobs are open. */
     public void open(int jobs) {
-        before = isServing() ? jobs : -1;
+        before = serving ? jobs : -1;
     }
 
     /** The process before has ended, or is given up. */
@@ -45,10 +47,10 @@
 
     /** Why the process before may not be ended yet; null where it may. */
     public String notYet(long now) {
-        if (!linked || isServing() && (before == 0 || now - servingSince >= PATIENCE)) {
+        if (!linked || serving && (before == 0 || now >= yesBy)) {
             return null;
         }
-        return isServing() ? "serving, but the process before this one still has " + (before < 0 ? "" : before + " ")
+        return serving ? "serving, but the process before this one still has " + (before < 0 ? "" : before + " ")
             + "jobs to answer" : "the process before this one has not handed over yet";
     }
 }
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -66,7 +66,9 @@
 
         @Override public void inherit(Heritage left) { }
 
-        @Override public boolean avoids(long time, long worker) {
+        @Override public void ending(long time) { }
+
+        @Override public boolean avoids(long worker) {
             return false;
         }
 
--- a/src/test/java/badgermux/decide/DecisionsTest.java
+++ b/src/test/java/badgermux/decide/DecisionsTest.java
@@ -97,10 +97,10 @@
 
     @Test void oneThatDrainsIsAvoidedAndLeftNoIdleConnection() {
         probing().start(fleet(3));
-        assertFalse(rig.module.avoids(rig.did.now, 1));
+        assertFalse(rig.module.avoids(1));
         rig.list(ListUpdate.DELTA, worker(1, WorkerState.DRAINING, 0));
-        assertTrue(rig.module.avoids(rig.did.now, 1));
-        assertTrue(rig.module.avoids(rig.did.now, 99), "nobody knows it");
+        assertTrue(rig.module.avoids(1));
+        assertTrue(rig.module.avoids(99), "nobody knows it");
         int released = rig.did.released.size();
         rig.report(1, 4);
         assertEquals(released + 1, rig.did.released.size(), "the probe's connection");
--- a/src/test/java/badgermux/it/ServeIT.java
+++ b/src/test/java/badgermux/it/ServeIT.java
@@ -435,4 +435,21 @@
             assertEquals(2, bad.process.exitValue());
         }
     }
+
+    /** SIGKILL follows 3.7 s behind SIGTERM: whoever would be cut off by it is told what is known of the job. */
+    @Test void whoWouldBeCutOffAtTheEndIsAnsweredBefore() throws IOException, InterruptedException {
+        try (Client pays = program.client()) {
+            client.send(Client.req("/preview", "5000m", "", ""));
+            backend.take().accept();
+            pays.send(Client.req("/pay", "5000m", "", ""));
+            backend.take().accept();
+            long before = System.nanoTime();
+            program.process.toHandle().destroy();
+            assertEquals(503, client.read().status(), "asking again is harmless");
+            assertEquals(500, pays.read().status(), "it may have run");
+            long millis = (System.nanoTime() - before) / 1_000_000;
+            assertTrue(millis > 3_000 && millis < 3_700, "after " + millis);
+            assertTrue(program.output().contains("badgermux_reqs_taken 2\n"));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/badgermux/upgrade/SuccessionTest.java
@@ -0,0 +1,64 @@
+package badgermux.upgrade;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import badgermux.decide.Dispatch.Heritage;
+import badgermux.decide.Dispatch.Push;
+import com.google.gson.JsonParseException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SuccessionTest {
+    private static final long START = 1_000_000;
+
+    @Test void aloneItIsReadyAndWithOneBeforeItOnceThatHasNoJobs() {
+        Succession succession = new Succession();
+        assertNull(succession.notYet(START));
+        succession.linked(START);
+        succession.open(0);
+        assertNotNull(succession.notYet(START + 10), "told before it has handed over: jobs may still come to it");
+        succession.serving();
+        assertNotNull(succession.notYet(START + 10));
+        succession.open(2);
+        assertNotNull(succession.notYet(START + 20));
+        succession.open(0);
+        assertNull(succession.notYet(START + 30));
+    }
+
+    @Test void theOneBeforeIsNotWaitedForForEver() {
+        Succession succession = new Succession();
+        succession.linked(START);
+        assertNotNull(succession.notYet(START + Succession.YES_BY), "who does not serve is not ready");
+        succession.serving();
+        succession.open(5);
+        assertNotNull(succession.notYet(START + Succession.YES_BY - 1));
+        assertNull(succession.notYet(START + Succession.YES_BY));
+    }
+
+    @Test void itsEndMakesReady() {
+        Succession succession = new Succession();
+        succession.linked(START);
+        succession.serving();
+        succession.open(5);
+        succession.lost();
+        assertNull(succession.notYet(START));
+    }
+
+    @Test void aHeritageComesAsItWent() {
+        Heritage left = new Heritage(new double[] {1.5, 0, Double.NaN, -2e9}, List.of(new Push(-7, 1L << 60, 0.25)));
+        Heritage came = Heritages.decode(Heritages.encode(left));
+        assertArrayEquals(new double[] {1.5, 0, 0, -2e9}, came.learnt());
+        assertEquals(left.pushes(), came.pushes());
+    }
+
+    @ParameterizedTest @ValueSource(strings = {"", "[]", "{}", "{\"learnt\":[1],\"pushes\":[[1]]}", "{\"learnt\":[\"x\"],\"pushes\":[]}"})
+    void whatIsNoneIsToldSo(String line) {
+        assertThrows(JsonParseException.class, () -> Heritages.decode(line));
+    }
+}
