Take nearly equal group totals for even, so that the own zone and faster kinds decide

Change: totals within 1.6 slots are even (DESIGN leaves tie rules open); loads inside a group tie as before.

--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -15,8 +15,8 @@
 public final class Dispatcher implements Dispatch {
     /** Workers in a group: two groups show enough of them for a small constant load (paper, section 4). */
     private static final int GROUP = 3;
-    /** Loads closer than so many slots tie, as reports are no finer; totals too where many push unseen. */
-    private static final double TIE = 0.5, WIDE_TIE = 1.5;
+    /** Loads closer than so many slots tie, as reports are no finer; totals of groups more widely. */
+    private static final double TIE = 0.5, WIDE_TIE = 1.5, EVEN = 1.6;
     /** A report shows its worker as of about this long ago: younger pushes are not in it yet. */
     private static final long REPORT_LAG = 400_000;
     /** A place in the groups outlives its worker this long, so that a zone's loss shifts no group. */
@@ -211,8 +211,7 @@
 
     @Override public void clientGone(long time, long job) {
         now = time;
-        Request r = requests.get(job);
-        if (r != null) finish(r);
+        if (requests.containsKey(job)) finish(requests.get(job));
     }
 
     @Override public void timer(long time, int token) {
@@ -283,7 +282,8 @@
         for (int leniency = 0; leniency <= (copy ? 0 : 2); leniency++) {
             Drawn one = usable(r, (int) r.draw, null, leniency);
             Drawn two = one == null ? null : usable(r, (int) (r.draw >> 32), one, leniency);
-            boolean even = two != null && Math.abs(one.total - two.total) < GROUP * (tie(one.pick) - TIE);
+            boolean even = two != null && Math.abs(one.total - two.total)
+                < Math.max(EVEN, GROUP * (tie(one.pick) - TIE));
             boolean first = two == null || (even ? beats(one.pick, two.pick) : one.total <= two.total);
             if (one != null) return first ? one : two;
         }
