--- a/src/bench/java/badgermux/bench/Saturate.java
+++ b/src/bench/java/badgermux/bench/Saturate.java
@@ -36,7 +36,7 @@
  * Requests a second and latencies through the real jar, with and without a description, in turns in one run; then the
  * latencies of small requests while a description of 13 MB is set and first used. Closed loop for the rate, an open loop
  * of intended times for the latencies. All on loopback: stand-in backends and a director that knows no news.
- * Arguments: JAR SECONDS ROUNDS.
+ * Arguments: JAR SECONDS ROUNDS, or {@code pair} OLD NEW SECONDS ROUNDS for the rates of two jars without anything set.
  */
 public final class Saturate {
     private static final String SETTINGS = "{\"Zone\":0,\"FailureDomains\":[\"east\"],\"Kinds\":[\"k\"],\"Discovery\":"
@@ -61,11 +61,38 @@
     private record Instance(Process process, int port, int adminPort) { }
 
     public static void main(String[] args) throws Exception {
-        new Saturate().run(args[0], Integer.parseInt(args[1]), Integer.parseInt(args[2]));
+        if (args[0].equals("pair")) {
+            new Saturate().pair(args[1], args[2], Integer.parseInt(args[3]), Integer.parseInt(args[4]));
+        } else {
+            new Saturate().run(args[0], Integer.parseInt(args[1]), Integer.parseInt(args[2]));
+        }
         System.exit(0);
     }
 
-    private void run(String jar, int seconds, int rounds) throws Exception {
+    /** What the second jar serves of the first one's rate, in turns. */
+    private void pair(String old, String fresh, int seconds, int rounds) throws Exception {
+        String members = members();
+        int director = listen(false);
+        Instance before = start(old, members, director, false);
+        Instance after = start(fresh, members, director, false);
+        saturate(before, seconds);
+        saturate(after, seconds);
+        List<Double> one = new ArrayList<>();
+        List<Double> two = new ArrayList<>();
+        List<Double> ratios = new ArrayList<>();
+        for (int i = 0; i < rounds; i++) {
+            one.add(saturate(before, seconds));
+            two.add(saturate(after, seconds));
+            ratios.add(two.get(i) / one.get(i));
+        }
+        System.out.printf(Locale.ROOT, "requests a second: old %.0f, new %.0f, ratio %.3f (median of %d rounds, %.3f to %.3f), "
+            + "answers other than 200: %d%n", median(one), median(two), median(ratios), rounds,
+            ratios.stream().min(Double::compare).orElseThrow(), ratios.stream().max(Double::compare).orElseThrow(), bad.get());
+        before.process.destroy();
+        after.process.destroy();
+    }
+
+    private String members() throws InterruptedException {
         StringBuilder members = new StringBuilder();
         for (int i = 0; i < 8; i++) {
             int port = listen(true);
@@ -73,9 +100,14 @@
                 .append(port).append("\",\"locality\":\"east\",\"flavor\":\"k\",\"cell\":0,\"phase\":\"SERVING\",\"size\":1.0,"
                 + "\"up_since_ms\":0}");
         }
+        return members.toString();
+    }
+
+    private void run(String jar, int seconds, int rounds) throws Exception {
+        String members = members();
         int director = listen(false);
-        Instance without = start(jar, members.toString(), director, false);
-        Instance with = start(jar, members.toString(), director, true);
+        Instance without = start(jar, members, director, false);
+        Instance with = start(jar, members, director, true);
         put(with, "small", SMALL);
         List<Double> plain = new ArrayList<>();
         List<Double> judged = new ArrayList<>();
--- a/src/test/java/badgermux/http/MessageReaderTest.java
+++ b/src/test/java/badgermux/http/MessageReaderTest.java
@@ -54,6 +54,29 @@
         assertEquals("abcdef", bodies.toString());
     }
 
+    /** Each message cut at each byte, and at each two: what is read is the same, and nothing of it too early. */
+    @ParameterizedTest @ValueSource(strings = {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", "\r\nGET / HTTP/1.1\r\n\r\n",
+        "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: t\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"})
+    void aMessageMayBeCutAtEveryByte(String text) throws BadMessage {
+        boolean response = text.startsWith("HTTP");
+        assertEquals(1, read(response, text.length(), text));
+        List<String> heads = List.copyOf(seen);
+        String body = bodies.toString();
+        for (int one = 0; one < text.length(); one++) {
+            for (int two = one; two < text.length(); two++) {
+                seen.clear();
+                bodies.setLength(0);
+                MessageReader reader = new MessageReader(response, 100, this);
+                assertFalse(reader.read(bytes(text.substring(0, one))) || reader.read(bytes(text.substring(one, two))));
+                assertTrue(reader.read(bytes(text.substring(two))));
+                assertEquals(heads, seen);
+                assertEquals(body, bodies.toString());
+            }
+        }
+    }
+
     @ParameterizedTest @ValueSource(strings = {"", "POST", "POST /", "POST / HTTP/2", "POST  HTTP/1.1",
         "POST /a b HTTP/1.1", "P(ST / HTTP/1.1", "POST /\u0001 HTTP/1.1", " / HTTP/1.1"})
     void badRequestLinesAreRejected(String line) {
