Keep the shares of 64 descriptors within them, as half of the least limit is in an upgrade

Need: over an upgrade both processes together may hold what is told; at 128 each has 64, and the shares summed up to 65 there. Change: 22 are spare at the least; 20 is what a process holds beside connections (12 seen in /proc, and the director, two links, the inherited socket's copy and a file).

--- a/src/main/java/badgermux/Room.java
+++ b/src/main/java/badgermux/Room.java
@@ -10,7 +10,7 @@
  */
 record Room(int clients, int overCap, int toBackends, int callers) {
     /** Descriptors that are no connections: files, the selector, the listeners, the director, links, some over. */
-    private static final int MOST_SPARE = 48, LEAST_SPARE = 24;
+    private static final int MOST_SPARE = 48, LEAST_SPARE = 22;
     private static final int MOST_CALLERS = 64, FEWEST_CALLERS = 6;
 
     /** The shares of so many descriptors; none for operators' calls where they can't call. */
