--- a/src/test/java/badgermux/it/UpgradeIT.java
+++ b/src/test/java/badgermux/it/UpgradeIT.java
@@ -278,6 +278,25 @@
         assertEquals(load.served.get(), ran.get());
     }
 
+    @Test void whoConnectsBetweenTwoProcessesIsServedByTheNext() throws IOException, InterruptedException {
+        Holder.Run old = holder.start();
+        await(old);
+        old.signal("TERM");
+        old.join();
+        try (Client client = holder.client()) {
+            client.send(Client.req("/preview", "5000m", "", ""));
+            holder.start();
+            Peer.Call call = null;
+            while (call == null) {
+                Peer.Call first = one.peek();
+                call = first == null ? two.peek() : first;
+                Thread.onSpinWait();
+            }
+            call.done("by the next");
+            assertEquals("by the next", client.read().body());
+        }
+    }
+
     @Test void aWrongDescriptorIsToldAndEndsTheStart() throws IOException, InterruptedException {
         for (String number : List.of("3", "x", "0")) {
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", Program.command());
