Let a crowd that dribbles make room, too, once its requests have come for 3 s

Change: where nobody else can make room, one whose request began 3 s ago or more does; a slow client's request of some 2 s stays safe. The clock is read once for each read, not three times.

--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -39,6 +39,8 @@
     static final long SPARED = 300_000;
     /** The same while nobody more can be let in: what had come by then has been read. */
     static final long SPARED_IN_NEED = 60_000;
+    /** A request that goes on coming is let be so long, where nobody else can make room. */
+    static final long SPARED_MOVING = 3_000_000;
     /** How soon those who wait to be accepted are looked after again, while there is no room. */
     private static final long ACCEPT_AGAIN = 20_000;
     /** When a req that is refused here, for want of room, should come again. */
@@ -230,7 +232,7 @@
     /**
      * Closes the connection that will be missed least, if there is one: a stranger's, then one that has said nothing
      * for a while, then one that left half a request behind, then a client's between two reqs, which sends what crosses
-     * the close once more. One whose request goes on coming is let be.
+     * the close once more. One whose request goes on coming comes last, and only after 3 s.
      */
     private boolean makeRoom() {
         long silentSince = now() - (connections.size() < cap + overCap ? SPARED : SPARED_IN_NEED);
@@ -238,6 +240,9 @@
         victim = victim == null ? longSilent(fresh, silentSince) : victim;
         victim = victim == null ? longSilent(halfway, now() - SPARED) : victim;
         victim = victim == null ? first(resting) : victim;
+        // Guards against a crowd that holds all places by a byte now and then.
+        victim = victim != null ? victim : halfway.stream()
+            .filter(c -> now() - c.beganAt() >= SPARED_MOVING).findFirst().orElse(null);
         if (victim == null) {
             return false;
         }
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -92,6 +92,11 @@
         return heardAt;
     }
 
+    /** When the request that it has begun began to come. */
+    long beganAt() {
+        return incoming == null ? heardAt : incoming.cameAt;
+    }
+
     /** Whether the request that it has begun goes on coming in pieces. */
     boolean isMoving() {
         return moving;
@@ -118,11 +123,12 @@
             }
             return;
         }
-        moving |= incoming != null && front.now() - heardAt > APART;
-        heardAt = front.now();
+        long now = front.now();
+        moving |= incoming != null && now - heardAt > APART;
+        heardAt = now;
         // Guards against a deadline that starts late: the client counts from before it sent, not from our parsing.
         if (!pending.isReadable() && incoming == null) {
-            cameAt = front.now();
+            cameAt = now;
         }
         pending.discardReadBytes().writeBytes(in);
         in.release();
--- a/src/test/java/badgermux/it/HardDaysIT.java
+++ b/src/test/java/badgermux/it/HardDaysIT.java
@@ -71,6 +71,44 @@
         }
     }
 
+    /** More than there is room for send a byte now and then for ever: who is new gets a place all the same. */
+    @Test void aCrowdThatGoesOnByteByByteKeepsNobodyOut() throws IOException, InterruptedException {
+        List<Client> crowd = new ArrayList<>();
+        for (int i = 0; i < 80; i++) {
+            crowd.add(program.client().send("POST /preview HTTP/1.1\r\nX-A: "));
+        }
+        Thread drip = new Thread(() -> {
+            while (!Thread.currentThread().isInterrupted()) {
+                for (Client client : crowd) {
+                    try {
+                        client.send("a");
+                    } catch (IOException e) {
+                        // it had to make room
+                    }
+                }
+                try {
+                    TimeUnit.MILLISECONDS.sleep(50);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        });
+        drip.start();
+        try (Client client = program.client()) {
+            long before = System.nanoTime();
+            client.send(Client.req("/preview", "9000m", "", ""));
+            backend.take().done("r");
+            assertEquals(200, client.read().status());
+            assertTrue(System.nanoTime() - before < 5_000_000_000L, "after the 3 s that they are let be");
+        } finally {
+            drip.interrupt();
+            drip.join();
+            for (Client client : crowd) {
+                client.close();
+            }
+        }
+    }
+
     /** Ten times as many as there is room for, silent or halfway; new clients are served, also one that sends slowly. */
     @Test void aCrowdOfSilentAndHalfWrittenConnectionsKeepsNobodyOut() throws IOException, InterruptedException {
         List<Client> crowd = new ArrayList<>();
