Count the old process's jobs only once it has handed over; upgrades apart from calls

Cause: on rereading, an OPEN 0 that was on its way while the next process began to serve made its yes come at once, though the old one still took jobs. Lines at fault: Succession.open, which went by our own serving. Change: the old one's LEFT is its word that it takes no more; figures before it don't count.

--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -125,7 +125,7 @@
         if (onCall == null || held == null) {
             start.accept(config.known());
         } else {
-            onCall.follow(deadlines, listing ->
+            onCall.upgrade().follow(deadlines, listing ->
                 start.accept(listing == null ? config.known() : ListDecoder.Listing.newer(config.known(), listing)));
         }
     }
@@ -148,7 +148,7 @@
             operators.listen(deadlines, metrics);
         }
         ChannelFuture listening = held == null ? front.listen(loop, config.listen())
-            : front.listen(loop, held, onCall == null || !onCall.follows());
+            : front.listen(loop, held, onCall == null || !onCall.upgrade().follows());
         if (onCall != null) {
             onCall.join(director, front, backends, engine, deadlines, metrics, config.sockets());
         }
@@ -187,7 +187,7 @@
     private void end() {
         loop.execute(() -> {
             if (onCall != null) {
-                onCall.ending();
+                onCall.upgrade().ending();
             }
             front.drain(this::drained);
         });
--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -15,7 +15,6 @@
 import badgermux.http.Head;
 import badgermux.metrics.Metrics;
 import badgermux.metrics.Metrics.Count;
-import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoopGroup;
@@ -28,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.tinylog.Logger;
 
 /** Watches the director's list: one call after another, each from the version that the last one brought. */
@@ -195,7 +195,7 @@
     private List<Dispatch.Worker> throughHands(ListUpdate update, List<Dispatch.Worker> workers) {
         if (update != ListUpdate.DELTA) {
             believed.clear();
-            members.keySet().retainAll(workers.stream().map(worker -> names.get(worker.id())).toList());
+            members.keySet().retainAll(workers.stream().map(worker -> names.get(worker.id())).collect(Collectors.toSet()));
         }
         for (Dispatch.Worker worker : workers) {
             if (worker.state() == WorkerState.GONE) {
@@ -214,8 +214,8 @@
     }
 
     /** The list as last held, in the director's form. */
-    public JsonObject held() {
-        return ListDecoder.encode(revision, members.values());
+    public String held() {
+        return ListDecoder.encode(revision, members.values()).toString();
     }
 
     /** Tells the module of all backends as they are seen now. */
--- a/src/main/java/badgermux/upgrade/Succession.java
+++ b/src/main/java/badgermux/upgrade/Succession.java
@@ -10,8 +10,9 @@
 
     private boolean linked;
     private boolean serving;
+    private boolean handedOver;
     private long yesBy;
-    /** Jobs open at the process before, as told since this one serves; -1 before that. */
+    /** Jobs open at the process before, as told since it has handed over; -1 before that. */
     private int before = -1;
 
     /** There is a process before this one, which was started at a time. */
@@ -30,9 +31,15 @@
         return serving;
     }
 
-    /** The process before has handed over and tells how many of its jobs are open. */
+    /** The process before has heard that this one serves: it takes no new jobs from here on. */
+    public void handedOver() {
+        handedOver = true;
+    }
+
+    /** The process before tells how many of its jobs are open. */
     public void open(int jobs) {
-        before = serving ? jobs : -1;
+        // Guards against a figure that was on its way when this process began to serve: jobs may have come since.
+        before = handedOver ? jobs : -1;
     }
 
     /** The process before has ended, or is given up. */
--- a/src/test/java/badgermux/upgrade/SuccessionTest.java
+++ b/src/test/java/badgermux/upgrade/SuccessionTest.java
@@ -10,6 +10,7 @@
 import badgermux.decide.Dispatch.Push;
 import com.google.gson.JsonParseException;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -25,6 +26,9 @@
         assertNotNull(succession.notYet(START + 10), "told before it has handed over: jobs may still come to it");
         succession.serving();
         assertNotNull(succession.notYet(START + 10));
+        succession.open(0);
+        assertNotNull(succession.notYet(START + 10), "told before it knew that this one serves");
+        succession.handedOver();
         succession.open(2);
         assertNotNull(succession.notYet(START + 20));
         succession.open(0);
@@ -57,6 +61,15 @@
         assertEquals(left.pushes(), came.pushes());
     }
 
+    @Test void whatAProcessHoldsComesAsItWent() {
+        Held held = new Held("{\"revision\":7}", Map.of("s-1", 5L), Map.of("s-2", new long[] {1, 2}));
+        Held came = Held.decode(held.encode());
+        assertEquals(held.list(), came.list());
+        assertEquals(held.out(), came.out());
+        assertArrayEquals(new long[] {1, 2}, came.back().get("s-2"));
+        assertThrows(JsonParseException.class, () -> Held.decode("{\"list\":{},\"out\":{},\"back\":{\"s\":[1]}}"));
+    }
+
     @ParameterizedTest @ValueSource(strings = {"", "[]", "{}", "{\"learnt\":[1],\"pushes\":[[1]]}", "{\"learnt\":[\"x\"],\"pushes\":[]}"})
     void whatIsNoneIsToldSo(String line) {
         assertThrows(JsonParseException.class, () -> Heritages.decode(line));
