Bound what is believed of a process's start, by which its yes is due

Saw: ready after 4.0 s on every upgrade, where 4.8 s were set: the system tells a process's start by its boot time, which is cut to the second. It could be off the other way, too, and the yes be late. Change: the start lies 0.3 to 2 s before the old process's answer.

--- a/src/main/java/badgermux/Upgrade.java
+++ b/src/main/java/badgermux/Upgrade.java
@@ -40,6 +40,8 @@
 final class Upgrade implements Link.End {
     /** How long a new process waits for the one before it to say what it holds. */
     private static final long ANSWER_WITHIN = 1_000_000;
+    /** What a start takes until the process before has answered. */
+    private static final long SHORTEST_START = 300_000, LONGEST_START = 2_000_000;
     /** How what it holds begins. */
     private static final String TOLD = "200 ";
 
@@ -308,10 +310,11 @@
         then.accept(listing);
     }
 
-    /** When this process was started; now, where that is not known. */
+    /** When this process was started: by the system's word, which is to the second, within what a start can have taken. */
     private long startedAt() {
-        return ProcessHandle.current().info().startInstant().map(at -> clock.fromUnixMillis(at.toEpochMilli()))
-            .orElseGet(clock::now);
+        long now = clock.now();
+        long told = ProcessHandle.current().info().startInstant().map(at -> clock.fromUnixMillis(at.toEpochMilli())).orElse(now);
+        return Math.max(now - LONGEST_START, Math.min(now - SHORTEST_START, told));
     }
 
     private void handOver(Link to) {
