--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -207,50 +207,66 @@
 
     /**
      * What limits which workers a job may use, and how many, beside the rules: asked before each send, told of all that
-     * happens. It decides from what it is told, and from nothing else.
+     * happens. It decides from what it is told, and from nothing else. As it stands here it limits nothing.
      */
     interface Zones {
         /** How many tiers of preference there are; a job looks through them in order, from 0. */
-        int tiers();
+        default int tiers() {
+            return 1;
+        }
 
         /** The tier in which a class may use a zone; -1 for never. */
-        int tier(int jobClass, int zone);
+        default int tier(int jobClass, int zone) {
+            return 0;
+        }
 
         /** Whether a job may look for a worker in a tier now. */
-        boolean opens(long now, Job job, boolean repeatable, int tier);
+        default boolean opens(long now, Job job, boolean repeatable, int tier) {
+            return true;
+        }
 
         /** Whether a worker may get a job after so many attempts; {@code load} is minus its free slots. */
-        boolean admits(long now, Job job, boolean repeatable, int attempts, Worker worker, double load, int tier);
+        default boolean admits(long now, Job job, boolean repeatable, int attempts, Worker worker, double load, int tier) {
+            return true;
+        }
 
         /** When a worker started, as far as that can be believed; 0 for long ago. */
-        long startedAt(Worker worker);
+        default long startedAt(Worker worker) {
+            return worker.startedAt();
+        }
 
         /** Whether a job that nobody may take now is given up at once, and not held. */
-        boolean givesUp(long now, Job job);
+        default boolean givesUp(long now, Job job) {
+            return false;
+        }
 
         /** The list, or news of it. */
-        void listed(long now, ListUpdate update, List<Worker> workers);
+        default void listed(long now, ListUpdate update, List<Worker> workers) { }
 
         /** A job has been sent; {@code work} is what is expected of it, in slot-seconds. */
-        void sent(long now, Job job, int attempt, Worker worker, double work);
+        default void sent(long now, Job job, int attempt, Worker worker, double work) { }
 
         /** An attempt has ended; {@code ran} is how long it ran, in slot-seconds, 0 where that is not known. */
-        void ended(long now, Job job, int attempt, Worker worker, Outcome outcome, double ran);
+        default void ended(long now, Job job, int attempt, Worker worker, Outcome outcome, double ran) { }
 
         /** A worker has given a sign of life. */
-        void alive(long now, long worker);
+        default void alive(long now, long worker) { }
 
         /** A job does not start at a worker that should have room for it. */
-        void late(long now, long worker);
+        default void late(long now, long worker) { }
 
         /** A probe's answer, and the most slots that the worker was ever seen to have. */
-        void probed(long now, long worker, boolean answered, double slots);
+        default void probed(long now, long worker, boolean answered, double slots) { }
 
         /** Called ten times a second; the workers that are to be probed. */
-        List<Long> round(long now);
+        default List<Long> round(long now) {
+            return List.of();
+        }
 
         /** The next line for on-call staff; null for none. */
-        String news();
+        default String news() {
+            return null;
+        }
     }
 
     /** A worker's load report; a figure that did not come is NaN. The module reads it during the call only. */
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -76,7 +76,7 @@
 
     private final Settings s;
     private final Actions act;
-    private final Zones zones;  // null where zones are all one
+    private final Zones zones;
     private final SplittableRandom random;
     private final boolean asks, listens;    // workers are probed; answers alone tell, connections are free
     private final double tie, patience;
@@ -96,7 +96,7 @@
 
     /** The same, held to what {@code zones} allow; null for no limits. */
     public Dispatcher(Settings settings, long seed, Actions actions, Zones zones) {
-        this.zones = zones;
+        this.zones = Objects.requireNonNullElse(zones, new Zones() { });
         s = settings.checked();
         act = Objects.requireNonNull(actions, "actions");
         random = new SplittableRandom(seed);
@@ -133,7 +133,7 @@
         if (!failed) takeList(update, list);
         // A failed call or a dropped watch: again after a jittered pause, which grows until a list comes.
         else if (!s.listPushed) after((long) (watchDelay * (0.5 + random.nextDouble())), act::watch);
-        if (zones != null) zones.listed(now, update, list);
+        zones.listed(now, update, list);
         sendHeld();
     }
 
@@ -166,7 +166,7 @@
         runningSlots += a.request.job.slots();
         stuck(a.request, false);
         wellDone(a.server);
-        if (zones != null) zones.alive(now, a.server.info.id());
+        zones.alive(now, a.server.info.id());
         // The first copy to start wins: one that still waits costs no work yet.
         a.request.attempts.stream().filter(other -> other.startedAt < 0).forEach(this::cancel);
     }
@@ -205,7 +205,7 @@
         Server w = servers.get(worker);
         if (w == null) return;
         takeReport(w, answered ? report : null);
-        if (zones != null) zones.probed(now, worker, answered, w.cap);
+        zones.probed(now, worker, answered, w.cap);
         w.asking.forEach(r -> heard(r, 1));
         w.asking.clear();
         closeIdle(w);
@@ -263,10 +263,8 @@
         // Our part of traffic and quotas, by the work that comes; overload says nothing of it.
         if (held.isEmpty() && used >= 1 && slotRun > 0) part += NEW / 5 * (asked / ROUND / used - part);
         asked = 0;
-        if (zones != null) {
-            zones.round(now).forEach(id -> { if (s.probes) act.probe(id); });
-            for (String line = zones.news(); line != null; line = zones.news()) act.log(line);
-        }
+        zones.round(now).forEach(id -> { if (s.probes) act.probe(id); });
+        for (String line = zones.news(); line != null; line = zones.news()) act.log(line);
         keepAlive = Math.min(s.connectionIdle, keepAlive + keepAlive / 100 + 1);
         held.removeIf(this::done);
         Arrays.setAll(credit, t -> Math.min(credit[t] + quota(t) * ROUND / 1e6,
@@ -294,7 +292,7 @@
 
     /** A group drawn at random, or the next one round that holds a worker for this job; weighed. */
     private Drawn usable(Request r, int start, Drawn not, int leniency) {
-        List<List<Server>> groups = groupsByClass.get(r.job.jobClass() * tiers() + r.tier);
+        List<List<Server>> groups = groupsByClass.get(r.job.jobClass() * zones.tiers() + r.tier);
         for (int i = 0; i < groups.size(); i++) {
             List<Server> group = groups.get(Math.floorMod(start + i, groups.size()));
             Drawn drawn = not != null && group == not.group ? null : weigh(group, r, leniency);
@@ -310,7 +308,7 @@
         for (Server w : group) {
             if (!eligible(w, r, leniency) || silent(w, r) && leniency < 1) continue;
             double load = load(w);
-            if (zones != null && !admits(w, r, load)) continue;
+            if (!admits(w, r, load)) continue;
             sum += load;
             counted++;
             if (lightest == null || (Math.abs(load - least) < tie(w) ? beats(w, lightest) : load < least)) {
@@ -407,7 +405,7 @@
     private void proceed(Request r) {
         r.draw = random.nextLong();
         r.awaited = 1;
-        while (zones != null && r.tier + 1 < tiers() && !opens(r)) r.tier++;
+        while (r.tier + 1 < zones.tiers() && !opens(r)) r.tier++;
         if (asks && !hopeless(r)) place(r, false);
         if (r.awaited > 1) after((long) patience, () -> heard(r, r.awaited));
         heard(r, 1);
@@ -437,8 +435,8 @@
     private boolean sendNow(Request r) {
         boolean some = false;
         // Guards against a lost zone's suspects tried one after another while the next tier is well.
-        for (int pass = tiers() > 1 ? 0 : 1; pass < 2; pass++) {
-            for (r.tier = 0; r.tier < tiers() && !hopeless(r); r.tier++) {
+        for (int pass = zones.tiers() > 1 ? 0 : 1; pass < 2; pass++) {
+            for (r.tier = 0; r.tier < zones.tiers() && !hopeless(r); r.tier++) {
                 Drawn drawn = opens(r) ? place(r, pass == 0) : null;
                 some |= drawn != null;
                 if (drawn != null && mayGo(r, drawn)) {
@@ -450,15 +448,11 @@
         r.tier = 0;
         r.draw = random.nextLong();
         // A job beyond what other zones may be burdened with is told so at once, and not held.
-        return !some && zones != null && zones.givesUp(now, r.job) && giveUp(r);
-    }
-
-    private int tiers() {
-        return zones == null ? 1 : zones.tiers();
+        return !some && zones.givesUp(now, r.job) && giveUp(r);
     }
 
     private boolean opens(Request r) {
-        return zones == null || zones.opens(now, r.job, repeatable(r), r.tier);
+        return zones.opens(now, r.job, repeatable(r), r.tier);
     }
 
     private boolean admits(Server w, Request r, double load) {
@@ -489,7 +483,7 @@
         w.out.add(a);
         if (cold(w)) w.coldSends.add(new Push(w.info.id(), now, expectedRun(r) * r.job.slots()));
         double work = Math.max(slotRun / 4, expectedRun(r)) * r.job.slots() / 1e6;
-        if (zones != null) zones.sent(now, r.job, r.attempts.size() - 1, w.info, work);
+        zones.sent(now, r.job, r.attempts.size() - 1, w.info, work);
         act.send(r.job.id(), w.info.id());
         if (s.cancels && !r.type.stream()) after(startWait(r), () -> checkOn(a));
     }
@@ -503,7 +497,7 @@
         boolean swallowed = asks && waits && a.roomy && a.idle > 0;
         if (swallowed && ++doubt > 1) keepAlive = Math.min(keepAlive, a.idle / 2);
         if (waits && !swallowed) stuck(r, true);
-        if (waits && a.roomy && zones != null) zones.late(now, a.server.info.id());
+        if (waits && a.roomy) zones.late(now, a.server.info.id());
         // Guards against queues full of late jobs: they make room, if an even chance of one in time gains.
         boolean gain = r.type.effect() == Effect.REPEATABLE && r.type.lateShare() < 1.0 / 3;
         if (waits && gain && now > r.latest && giveUp(r)) return;
@@ -546,7 +540,7 @@
         a.outcome = outcome;
         double ran = a.startedAt >= 0 ? (now - a.startedAt) * a.request.job.slots() / 1e6 : 0;
         int number = a.request.attempts.indexOf(a);
-        if (zones != null) zones.ended(now, a.request.job, number, a.server.info, outcome, ran);
+        zones.ended(now, a.request.job, number, a.server.info, outcome, ran);
         outSlots -= a.request.job.slots();
         runningSlots -= a.startedAt >= 0 ? a.request.job.slots() : 0;
         if (outcome == Outcome.TIMED_OUT) return;   // its slots count until the next report: see takeReport
@@ -728,11 +722,7 @@
     // ---- Cold workers (rule 4): a budget of work over any window, split over the dispatchers
 
     private boolean cold(Server w) {
-        return startedAt(w) > 0 && now - startedAt(w) < s.coldFor;
-    }
-
-    private long startedAt(Server w) {
-        return zones == null ? w.info.startedAt() : zones.startedAt(w.info);
+        return zones.startedAt(w.info) > 0 && now - zones.startedAt(w.info) < s.coldFor;
     }
 
     private boolean withinColdBudget(Server w, Request r) {
@@ -741,7 +731,7 @@
         if (now - bornAt < s.fallWindow || job <= 0) return false;
         w.coldSends.removeIf(p -> p.at() <= now - s.fallWindow);
         for (Push p : w.coldSends) sent += p.work();
-        double age = Math.max(0, now - startedAt(w)) / (double) s.coldFor;
+        double age = Math.max(0, now - zones.startedAt(w.info)) / (double) s.coldFor;
         double capacity = Math.max(1, slots(w)) * (s.coldShare + (1 - s.coldShare) * age);
         // Guards against even parts that hold no job: all sent what we did, those before us in turn one more.
         long turn = s.index + (1 + (long) (age * s.coldFor / s.fallWindow)) * Long.hashCode(w.info.id());
@@ -771,10 +761,10 @@
         servers.values().forEach(w -> ready[w.info.kind()] += w.state == WorkerState.READY ? 1 : 0);
         groupsByClass.clear();
         // Guards against a class sent where it may not run: no attempt of it is drawn from anywhere else.
-        for (int i = 0; i < s.classes.size() * tiers(); i++) {
-            int c = i / tiers(), tier = i % tiers();
+        for (int i = 0; i < s.classes.size() * zones.tiers(); i++) {
+            int c = i / zones.tiers(), tier = i % zones.tiers();
             List<Server> pool = servers.values().stream().filter(w -> s.classes.get(c).mayRunOn(w.info)
-                && (zones == null || zones.tier(c, w.info.zone()) == tier)).toList();
+                && zones.tier(c, w.info.zone()) == tier).toList();
             groupsByClass.add(IntStream.range(0, (pool.size() + GROUP - 1) / GROUP)
                 .mapToObj(g -> pool.subList(g * GROUP, Math.min((g + 1) * GROUP, pool.size()))).toList());
         }
