Let jobs that would queue take this dispatcher's turns at cold workers

Each window gives a turn to a few of 14 dispatchers; a turn was used only if a job happened to draw that worker, one draw in ten, within the two seconds. One dispatcher alone uses all its turns; of fourteen, most pass unused. At fault: sendNow, which looked no further when the drawn pick was full; withinColdBudget, which took a job for as long on the slow kind as on the fast (the highest ratios were single jobs on the slow kind).

A job whose drawn pick has no free slot looks round once for a cold worker at which it is our turn and that has a free slot. Work is counted by the kind's pace. The bound itself stands.

--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -35,8 +35,8 @@
     private static final double FRESH_SLACK = 4;
     /** Weight of a new figure in a moving average; mean runs until all jobs of a report have ended. */
     private static final double NEW = 0.05, REPORT_RUNS = 10;
-    /** Bounds on CPU and log: held jobs tried at once; lines written. */
-    private static final int TRIES = 3, LOG_LINES = 100;
+    /** Leniency of a look at cold workers alone. Bounds on CPU and log: held jobs tried at once; lines. */
+    private static final int TURN = -1, TRIES = 3, LOG_LINES = 100;
 
     /** A worker: what the list, its reports and our own attempts say of it. */
     private static final class Server {
@@ -87,7 +87,7 @@
     private final List<List<List<Server>>> groupsByClass = new ArrayList<>();
     private final double[] ready, kindFree, kindSlots, kindPace, meanRun, runs, runPerHint, longest, credit;
     private double outSlots, runningSlots, stuckSlots, asked, slotRun, part;
-    private long now, bornAt = -1, watchDelay, keepAlive;
+    private long now, bornAt = -1, watchDelay, keepAlive, coldUntil;
     private int nextToken, logged, lists, doubt;
 
     public Dispatcher(Settings settings, long seed, Actions actions) {
@@ -128,9 +128,8 @@
             round();
             if (!s.listPushed) act.watch();
         }
-        boolean failed = update == ListUpdate.FAILED;
-        watchDelay = failed ? Math.min(2 * watchDelay, s.askEvery / 4) : FIRST_REST / 2;
-        if (!failed) takeList(update, list);
+        watchDelay = update == ListUpdate.FAILED ? Math.min(2 * watchDelay, s.askEvery / 4) : FIRST_REST / 2;
+        if (update != ListUpdate.FAILED) takeList(update, list);
         // A failed call or a dropped watch: again after a jittered pause, which grows until a list comes.
         else if (!s.listPushed) after((long) (watchDelay * (0.5 + random.nextDouble())), act::watch);
         zones.listed(now, update, list);
@@ -306,7 +305,8 @@
         Server lightest = null;
         double sum = 0, least = 0, counted = 0;
         for (Server w : group) {
-            if (!eligible(w, r, leniency) || silent(w, r) && leniency < 1) continue;
+            if (!eligible(w, r, leniency) || leniency == TURN && !(cold(w) && roomy(w, r))) continue;
+            if (silent(w, r) && leniency < 1) continue;
             double load = load(w);
             if (!admits(w, r, load)) continue;
             sum += load;
@@ -362,6 +362,10 @@
         return 1 - Math.exp((w.reportedAt - now - REPORT_LAG) / Math.max(slotRun / 2, REPORT_LAG));
     }
 
+    private boolean roomy(Server w, Request r) {
+        return load(w) + r.job.slots() <= TIE;
+    }
+
     /** A worker that was never heard of is taken for one of its kind. */
     private double slots(Server w) {
         return w.cap < 1 ? kindSlots[w.info.kind()] : w.cap;
@@ -383,8 +387,8 @@
     }
 
     private static boolean shareKeys(JobClass type, Server w, Server other) {
-        if (type.scope() == Scope.ALL || w.info.zone() != other.info.zone()) return type.scope() == Scope.ALL;
-        return type.scope() == Scope.ZONE || w.info.cell() == other.info.cell();
+        return type.scope() == Scope.ALL || w.info.zone() == other.info.zone()
+            && (type.scope() == Scope.ZONE || w.info.cell() == other.info.cell());
     }
 
     /** Asks it for a report if the last one is old; whether it has left the last question unanswered. */
@@ -439,6 +443,10 @@
             for (r.tier = 0; r.tier < zones.tiers() && !hopeless(r); r.tier++) {
                 Drawn drawn = opens(r) ? place(r, pass == 0) : null;
                 some |= drawn != null;
+                // Guards against turns at cold workers that pass unused while jobs queue elsewhere.
+                boolean seeks = drawn != null && now < coldUntil && !roomy(drawn.pick, r);
+                Drawn turn = seeks ? usable(r, (int) r.draw, null, TURN) : null;
+                drawn = turn == null ? drawn : turn;
                 if (drawn != null && mayGo(r, drawn)) {
                     send(r, drawn.pick);
                     return true;
@@ -452,15 +460,12 @@
     }
 
     private boolean opens(Request r) {
-        return zones.opens(now, r.job, repeatable(r), r.tier);
+        return zones.opens(now, r.job, r.type.effect() == Effect.REPEATABLE, r.tier);
     }
 
     private boolean admits(Server w, Request r, double load) {
-        return zones.admits(now, r.job, repeatable(r), r.attempts.size(), w.info, load, r.tier);
-    }
-
-    private static boolean repeatable(Request r) {
-        return r.type.effect() == Effect.REPEATABLE;
+        boolean repeatable = r.type.effect() == Effect.REPEATABLE;
+        return zones.admits(now, r.job, repeatable, r.attempts.size(), w.info, load, r.tier);
     }
 
     /** Tries the first few held jobs (most worth, then most slack, as of the last round) while any goes. */
@@ -479,9 +484,9 @@
         // Guards against idle connections dropped unseen: one as old as those that were is closed, not used.
         if (a.idle > keepAlive && a.idle < s.connectionIdle) act.release(w.info.id());
         if (a.idle > keepAlive) a.idle = 0;
-        a.roomy = load(w) + r.job.slots() <= TIE;
+        a.roomy = roomy(w, r);
         w.out.add(a);
-        if (cold(w)) w.coldSends.add(new Push(w.info.id(), now, expectedRun(r) * r.job.slots()));
+        if (cold(w)) w.coldSends.add(new Push(w.info.id(), now, coldWork(w, r)));
         double work = Math.max(slotRun / 4, expectedRun(r)) * r.job.slots() / 1e6;
         zones.sent(now, r.job, r.attempts.size() - 1, w.info, work);
         act.send(r.job.id(), w.info.id());
@@ -508,8 +513,8 @@
             r.draw = random.nextLong();
             Drawn drawn = place(r, true);
             // Guards against copies that queue: a cancelled one may still run, and takes a slot for nobody.
-            boolean roomy = drawn != null && load(drawn.pick) + r.job.slots() <= TIE;
-            if (drawn != null && (silent || (asks ? roomy : load(drawn.pick) < load(a.server)))) {
+            boolean free = drawn != null && (asks ? roomy(drawn.pick, r) : load(drawn.pick) < load(a.server));
+            if (drawn != null && (silent || free)) {
                 send(r, drawn.pick);
                 return;
             }
@@ -553,9 +558,8 @@
         else if (outcome == Outcome.RESET && stale) keepAlive = Math.min(keepAlive, a.idle / 2);
         else if (!room && !outcome.ours() && outcome != Outcome.UNFIT) setAside(a.server, outcome);
         // Guards against workers set aside for what a bad client sent: who serves it tells.
-        for (Attempt other : outcome == Outcome.SERVED ? a.request.attempts : List.<Attempt>of()) {
-            if (other.outcome == Outcome.UNFIT) setAside(other.server, Outcome.ERROR);
-        }
+        if (outcome == Outcome.SERVED) a.request.attempts.stream().filter(x -> x.outcome == Outcome.UNFIT)
+            .forEach(x -> setAside(x.server, Outcome.ERROR));
     }
 
     /** How many workers could not use it: two that agree are believed. */
@@ -725,8 +729,13 @@
         return zones.startedAt(w.info) > 0 && now - zones.startedAt(w.info) < s.coldFor;
     }
 
+    /** What a job takes there once it is warm: a kind that runs longer has less to give in the same slots. */
+    private double coldWork(Server w, Request r) {
+        return expectedRun(r) * Math.exp(kindPace[w.info.kind()]) * r.job.slots();
+    }
+
     private boolean withinColdBudget(Server w, Request r) {
-        double job = expectedRun(r) * r.job.slots(), sent = 0;
+        double job = coldWork(w, r), sent = 0;
         // After our own restart what we pushed before is unknown, and how long jobs run: nothing goes there.
         if (now - bornAt < s.fallWindow || job <= 0) return false;
         w.coldSends.removeIf(p -> p.at() <= now - s.fallWindow);
@@ -748,6 +757,7 @@
             w.info = info;
             w.listed = lists;
             setState(w, info.state());
+            coldUntil = Math.max(coldUntil, zones.startedAt(info) + s.coldFor);
         }
         servers.values().stream().filter(w -> update != ListUpdate.DELTA && w.listed != lists)
             .forEach(w -> setState(w, WorkerState.GONE));
