Try a client's late repeat once where a slot is free; list the archive's classes anew

A survivor takes a job that has waited 4 s for late by the mean run; what had run for 4 s is a long job, whose aim grows with its work. At fault: hopeless. Ruled out: the start (ready after 0.9 s), the list (every restarted one had it within 0.1 s), cold workers.

Where workers are asked for reports, a client's repeat past its aim is tried once if a slot is shown free, and is refused at once otherwise; it takes no turn of a cold worker. PATIENCE serves where FRESH_SLACK, the same number, did. Rehearsal lists the classes that serving some reqs takes; run by hand so far.

--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -29,10 +29,8 @@
     private static final double CREDIT_SECONDS = 2, CREDIT_JOBS = 10;
     /** The part of the cold budget that we use: how long a job runs is known on average only. */
     private static final double COLD_MARGIN = 0.5;
-    /** A job waits this part of the tightest aim for its drawn workers' reports. */
+    /** The part of the tightest aim that a job waits for reports; of its patience, where it runs unknown. */
     private static final int PATIENCE = 4;
-    /** While it is not known how long jobs run, one may wait this part of its patience: see request. */
-    private static final double FRESH_SLACK = 4;
     /** Weight of a new figure in a moving average; mean runs until all jobs of a report have ended. */
     private static final double NEW = 0.05, REPORT_RUNS = 10;
     /** Leniency of a look at cold workers alone. Bounds on CPU and log: held jobs tried at once; lines. */
@@ -69,7 +67,7 @@
         Job job;
         JobClass type;
         long deadline, latest, draw;
-        boolean over, streaming, overShare, stuck;
+        boolean over, streaming, overShare, stuck, again;
         int awaited, tier;
         final List<Attempt> attempts = new ArrayList<>(2);
     }
@@ -147,11 +145,11 @@
         double slack = r.type.slack(expectedRun(r));
         // Guards against all taken for late that waited out our restart: short jobs alone have ended since.
         boolean waitedForUs = job.hint() == 0 && r.deadline - r.type.deadline() < bornAt;
-        if (waitedForUs) slack = Math.max(slack, r.type.deadline() / FRESH_SLACK);
+        if (waitedForUs) slack = Math.max(slack, r.type.deadline() / PATIENCE);
         r.latest = (long) (r.deadline - longest[job.jobClass()] + slack);
-        boolean firstTry = job.left() >= longest[job.jobClass()] - s.tick;
-        asked += firstTry ? job.slots() * expectedRun(r) : 0;
-        r.overShare = overShare(job, firstTry);
+        r.again = job.left() < longest[job.jobClass()] - s.tick;
+        asked += r.again ? 0 : job.slots() * expectedRun(r);
+        r.overShare = overShare(job, !r.again);
         requests.put(job.id(), r);
         proceed(r);
     }
@@ -424,7 +422,9 @@
 
     private boolean hopeless(Request r) {
         double least = s.tick + Math.max(ROUND, r.attempts.isEmpty() ? 0 : expectedRun(r));
-        return r.deadline - now <= least || !mayRepeat(r) || now > r.latest && r.type.lateShare() == 0;
+        // Guards against repeats refused where a dispatcher died: what ran so long is long, with more slack.
+        boolean due = !asks || !r.again || !r.attempts.isEmpty();
+        return r.deadline - now <= least || !mayRepeat(r) || due && now > r.latest && r.type.lateShare() == 0;
     }
 
     private boolean done(Request r) {
@@ -444,7 +444,7 @@
                 Drawn drawn = opens(r) ? place(r, pass == 0) : null;
                 some |= drawn != null;
                 // Guards against turns at cold workers that pass unused while jobs queue elsewhere.
-                boolean seeks = drawn != null && now < coldUntil && !roomy(drawn.pick, r);
+                boolean seeks = drawn != null && now < coldUntil && !isLate(r) && !roomy(drawn.pick, r);
                 Drawn turn = seeks ? usable(r, (int) r.draw, null, TURN) : null;
                 drawn = turn == null ? drawn : turn;
                 if (drawn != null && mayGo(r, drawn)) {
--- a/src/test/java/badgermux/decide/DecisionsTest.java
+++ b/src/test/java/badgermux/decide/DecisionsTest.java
@@ -371,6 +371,25 @@
         assertEquals(1, rig.sendsOf(job));
     }
 
+    /** Where a dispatcher dies its clients come here; a job that had run for long has more slack than most. */
+    @Test void aLateRepeatIsTriedOnceWhereASlotIsFree() {
+        asking(1);
+        rig.advance(10 * SECOND);
+        long first = rig.request(RENDER);
+        rig.report(1, 2);
+        rig.module.started(rig.did.now, first, 0);
+        answering(100, 2);
+        rig.outcome(first, 0, Outcome.SERVED);
+        long job = rig.request(RENDER, 3 * SECOND);
+        rig.report(1, 2);
+        assertEquals(1, rig.sendsOf(job), "it has waited 2 s elsewhere");
+        answering(1_000, 0);
+        long other = rig.request(RENDER, 3 * SECOND);
+        rig.report(1, 0);
+        assertEquals(0, rig.sendsOf(other));
+        assertTrue(rig.did.refused.contains(other), "nor is it held");
+    }
+
     /** Lets time pass while all workers answer each probe with the same free slots. */
     private void answering(int ms, double... free) {
         for (int t = 0; t < ms; t += 10) {
--- a/src/test/java/badgermux/it/Program.java
+++ b/src/test/java/badgermux/it/Program.java
@@ -46,7 +46,11 @@
 
     /** Starts it with an address for operators' calls; {@code folder} is its $TMPDIR, too, which may have been used before. */
     static Program onCall(Path folder, String members, int sockets, String settings) throws IOException {
-        Program program = new Program(command(), config(folder, members, sockets, 192, settings),
+        return onCall(command(), folder, members, sockets, settings);
+    }
+
+    static Program onCall(String command, Path folder, String members, int sockets, String settings) throws IOException {
+        Program program = new Program(command, config(folder, members, sockets, 192, settings),
             Map.of("GW_ADMIN", "127.0.0.1:0", "TMPDIR", folder.toString()));
         program.awaitPort();
         return program;
--- /dev/null
+++ b/src/test/java/badgermux/it/Rehearsal.java
@@ -0,0 +1,82 @@
+package badgermux.it;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Part of the build: has the jar serve some reqs and list the classes that this took, for the archive of classes. A list
+ * that is kept by hand goes stale with each lambda that comes or goes, and a start then makes them anew. Where nothing
+ * may listen here, the list of {@code deploy} is used. Arguments: the list to write, the one to fall back on.
+ */
+final class Rehearsal {
+    private Rehearsal() { }
+
+    public static void main(String[] args) throws IOException, InterruptedException {
+        Path list = Path.of(args[0]);
+        Files.deleteIfExists(list);
+        try {
+            play(list);
+        } catch (IOException | AssertionError e) {
+            System.err.println("no rehearsal (" + e.getMessage() + "): the list of classes is " + args[1]);
+        }
+        if (!Files.exists(list)) {
+            Files.copy(Path.of(args[1]), list, StandardCopyOption.REPLACE_EXISTING);
+        }
+    }
+
+    private static void play(Path list) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("rehearsal");
+        String settings = Program.SETTINGS.replace("{\"How\":\"silent\",\"Columns\":[]}",
+            "{\"How\":\"pull\",\"Columns\":[\"x0\",\"x1\",\"recent_ms\",\"throughput\"]}")
+            .replace("\"Ceilings\":{", "\"Ceilings\":{\"Probes\":true,\"ParallelTries\":true,");
+        String command = Program.command().replaceAll("-Xshare:\\S+ -XX:SharedArchiveFile=\\S+",
+            "-Xshare:off -XX:DumpLoadedClassList=" + list);
+        try (Peer one = new Peer(); Peer two = new Peer();
+                Program program = Program.onCall(command, folder, Program.member("s-1", one, "east", "SERVING"), 1024, settings)) {
+            program.director.take().reply("200 OK", "{\"revision\":2,\"complete\":false,\"members\":["
+                + Program.member("s-2", two, "west", "SERVING") + "]}");
+            program.director.take();
+            try (Client client = program.client()) {
+                client.get("/healthz");
+                for (String way : new String[] {"done", "returned", "lost", "failed", "done", "done"}) {
+                    client.send(Client.req(way.equals("failed") ? "/pay/x" : "/preview/x", "4000m", "", "b"));
+                    answer(one, two, way);
+                    client.read();
+                }
+                client.get("/metrics");
+            }
+            program.call("HEALTH");
+            program.call("DUMP");
+            program.process.destroy();
+            program.process.waitFor(Peer.PATIENCE_S, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Answers all probes, and the first fetch in the given way; a fetch that follows it is served. */
+    private static void answer(Peer one, Peer two, String way) throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peer.PATIENCE_S);
+        boolean first = true;
+        while (System.nanoTime() < end) {
+            Peer.Call call = one.peek();
+            call = call == null ? two.peek() : call;
+            if (call == null) {
+                Thread.onSpinWait();
+            } else if (call.head.startsWith("GET")) {
+                call.reply("200 OK\r\nX-Server-Load: TEXT x0=2", "TEXT x0=2, x1=2, recent_ms=100, throughput=1");
+            } else if (first && !way.equals("done")) {
+                first = false;
+                call.accept().line(way, "").end();
+                if (way.equals("failed")) {
+                    return;
+                }
+            } else {
+                call.done("r");
+                return;
+            }
+        }
+        throw new AssertionError("no fetch came");
+    }
+}
