Tests: six in ten runners replaced at once; the size of the fleet in the settings

After a full list with 9 of 24 kept and 15 new, nothing goes to the gone and each cold one gets one job a window; Balancers and Me at 1, 14 and 100 are read, and those that cannot be are named.

--- a/src/test/java/badgermux/config/ConfigTest.java
+++ b/src/test/java/badgermux/config/ConfigTest.java
@@ -33,6 +33,23 @@
         return Config.read(all);
     }
 
+    /** The part of a cold runner's work and the order of turns follow from these two. */
+    @ParameterizedTest @CsvSource({"1, 0", "14, 13", "100, 99"})
+    void theSizeOfTheFleetIsRead(int balancers, int me) throws ConfigException, IOException {
+        Dispatch.Settings settings = read(GOOD.replace("\"Kinds\"", "\"Balancers\":" + balancers + ",\"Me\":" + me
+            + ",\"Kinds\""), Map.of()).settings();
+        assertEquals(balancers, settings.dispatchers);
+        assertEquals(me, settings.index);
+        assertEquals(1, read(GOOD, Map.of()).settings().dispatchers, "alone where nothing is said");
+    }
+
+    @ParameterizedTest @CsvSource({"0, 0, dispatchers", "14, 14, index", "-1, 0, Balancers", "1.5, 0, Balancers"})
+    void aFleetThatCannotBeIsNamed(String balancers, int me, String fault) {
+        String text = GOOD.replace("\"Kinds\"", "\"Balancers\":" + balancers + ",\"Me\":" + me + ",\"Kinds\"");
+        String told = assertThrows(ConfigException.class, () -> read(text, Map.of())).getMessage();
+        assertTrue(told.contains(fault), told);
+    }
+
     @Test void allIsReadAndTheEnvironmentGoesFirst() throws ConfigException, IOException {
         Config config = read(GOOD, Map.of("GW_LISTEN", "127.0.0.9:9"));
         assertEquals("127.0.0.9", config.listen().getHostString());
--- a/src/test/java/badgermux/decide/ColdFleetTest.java
+++ b/src/test/java/badgermux/decide/ColdFleetTest.java
@@ -111,4 +111,35 @@
         double used = cold.size() * RUN / 1e6 / could;
         assertTrue(used > 0.85, "used " + used + " of what they could do");
     }
+
+    /** Six in ten runners are replaced at once: nothing goes to the gone, and the new ones count as cold. */
+    @Test void whereMostAreReplacedNothingGoesToTheGoneAndTheNewAreCold() {
+        Instance one = new Instance(0);
+        List<Push> pushes = new ArrayList<>();
+        Random random = new Random(5);
+        for (int i = 0; i < 400; i++) {
+            if (random.nextInt(10) == 0) {
+                one.rig.request(Rig.RENDER);
+            }
+            one.step(pushes, SLOTS);
+        }
+        long born = one.rig.did.now;
+        // Warm workers have odd ids up to 49: the first nine stay, and even ids from 2 on are new.
+        one.rig.list(ListUpdate.FULL, IntStream.rangeClosed(1, WARM).mapToObj(id -> worker(id, id <= 9 ? 0 : born))
+            .toArray(Dispatch.Worker[]::new));
+        pushes.clear();
+        for (int i = 0; i < 400; i++) {
+            if (random.nextInt(10) == 0) {
+                one.rig.request(Rig.RENDER);
+            }
+            one.step(pushes, 1);
+        }
+        assertTrue(pushes.stream().noneMatch(x -> x.worker() % 2 == 1 && x.worker() > 19), "sent to the gone: " + pushes);
+        for (Push push : pushes) {
+            long alike = pushes.stream().filter(x -> x.worker() == push.worker() && x.at() > push.at() - 2 * SECOND
+                && x.at() <= push.at()).count();
+            assertTrue(push.worker() % 2 == 1 || alike <= 1, "one of fourteen sends a cold worker one job by turns");
+        }
+        assertTrue(pushes.size() > 20, "and the others go on: " + pushes.size());
+    }
 }
