Make the list of the archive's classes anew, by a play that src/bench has

Need: 55 classes of a start stood outside the archive, most of them lambdas of the module whose numbers had moved; brought a tool for it among the tests and did not use it. Rejected: a play in each build, which would need ports there for 5% of a start.

--- a/src/test/java/badgermux/it/Rehearsal.java
+++ b/src/bench/java/badgermux/it/Rehearsal.java
@@ -3,28 +3,34 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
- * Part of the build: has the jar serve some reqs and list the classes that this took, for the archive of classes. A list
- * that is kept by hand goes stale with each lambda that comes or goes, and a start then makes them anew. Where nothing
- * may listen here, the list of {@code deploy} is used. Arguments: the list to write, the one to fall back on.
+ * Has the jar serve some reqs and writes which classes that took, for the archive of classes. A list that is not made anew
+ * goes stale with each lambda that comes or goes. Classes of the old list that this play does not meet, such as those of
+ * an upgrade, stay in it. Argument: the list.
  */
 final class Rehearsal {
     private Rehearsal() { }
 
     public static void main(String[] args) throws IOException, InterruptedException {
         Path list = Path.of(args[0]);
-        Files.deleteIfExists(list);
-        try {
-            play(list);
-        } catch (IOException | AssertionError e) {
-            System.err.println("no rehearsal (" + e.getMessage() + "): the list of classes is " + args[1]);
-        }
-        if (!Files.exists(list)) {
-            Files.copy(Path.of(args[1]), list, StandardCopyOption.REPLACE_EXISTING);
-        }
+        Path met = Files.createTempFile("classes", ".lst");
+        play(met);
+        List<String> lines = new ArrayList<>(Files.readAllLines(met));
+        Set<String> names = lines.stream().map(Rehearsal::name).collect(Collectors.toSet());
+        // What the virtual machine makes up by itself has other names in each run.
+        Files.readAllLines(list).stream().map(Rehearsal::name)
+            .filter(name -> !name.matches("[@#].*|.*\\$(Proxy|\\$Lambda|MH|DMH).*") && names.add(name)).forEach(lines::add);
+        Files.write(list, lines);
+    }
+
+    private static String name(String line) {
+        return line.split(" ", 2)[0];
     }
 
     private static void play(Path list) throws IOException, InterruptedException {
