Believe no list older than the one in hand, and log a director's failures once

An answer of an older revision was taken: it brings back runners that have left, and a whole one takes away who has come. A director that was down logged nothing, a malformed list one line a call. At fault: Director.take, which set the revision to whatever came.

Change: an older answer is a failed call, with the module's growing pauses; after 10 s of them all is asked for from revision 0, so that a director that began anew is believed in the end, and at once where SIGHUP named another. One line tells that it fails, one that it answers again. Rejected: ignoring older answers for good.

Shown: DirectorIT on the real jar: 503, reset, half a list, an older whole list, 500 entries, silence, an address taken over by another id; the first fails without the change (the next call asked since=4).

--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -41,6 +41,8 @@
 
     /** How long a watch call asks the director to wait for news, and how much longer its answer is waited for. */
     private static final long WAIT = 5_000_000, GRACE = 1_900_000;
+    /** A director whose answers stay older than the list in hand for so long has begun anew: it is asked for all. */
+    private static final long BEHIND = 2 * WAIT;
     private static final int MAX_LIST = 4 << 20;
     private static final long LOG_AFTER = 500_000;
     private static final Map<String, WorkerState> PHASES = Map.of("SERVING", WorkerState.READY,
@@ -68,7 +70,12 @@
     private ClientConnection connection;
     private Call call;
     private long revision;
+    /** Since when its answers are older than the list in hand; 0 where they are not. */
+    private long behindSince;
     private boolean listed;
+    private boolean failing;
+    /** Whether it is another director that is asked now, which may count revisions of its own. */
+    private boolean moved;
 
     /**
      * Joins the director to an engine.
@@ -134,6 +141,7 @@
     public void moveTo(InetSocketAddress next) {
         if (!next.equals(address)) {
             address = next;
+            moved = true;
             if (call != null) {
                 deadlines.cancel(call.limit);
                 call = null;
@@ -146,8 +154,13 @@
         watch();
     }
 
-    private void failed() {
+    /** The list in hand goes on. One line tells of the first failure: a director that is down fails many calls. */
+    private void failed(String why) {
         metrics.add(Count.DIRECTOR_FAILURES);
+        if (!failing) {
+            Logger.warn("the director fails: {}; the list in hand goes on", why);
+        }
+        failing = true;
         engine.workers(ListUpdate.FAILED, List.of());
     }
 
@@ -156,10 +169,19 @@
         try {
             listing = ListDecoder.decode(json);
         } catch (JsonParseException e) {
-            Logger.warn("the director's list is malformed: {}", e.getMessage());
-            failed();
+            failed("its list is malformed: " + e.getMessage());
+            return;
+        }
+        if (listing.revision < revision && !moved) {
+            older(listing.revision);
             return;
         }
+        behindSince = 0;
+        moved = false;
+        if (failing) {
+            Logger.info("the director answers again");
+        }
+        failing = false;
         metrics.add(Count.DIRECTOR_LISTS);
         revision = listing.revision;
         listed |= listing.complete || !listing.members.isEmpty();
@@ -168,6 +190,15 @@
         tell(listing.complete ? ListUpdate.FULL : ListUpdate.DELTA, entries(listing));
     }
 
+    /** Guards against a director that lags: its older list would bring back who has left. */
+    private void older(long its) {
+        behindSince = behindSince == 0 ? clock.now() : behindSince;
+        if (clock.now() - behindSince > BEHIND) {
+            revision = 0;
+        }
+        failed("its revision " + its + " is older than the one in hand");
+    }
+
     /** The module hears of the news first; then who has left is forgotten here, so that the tables do not grow. */
     private void tell(ListUpdate update, List<Dispatch.Worker> listed) {
         List<Dispatch.Worker> workers = guard == null ? listed : guard.believed(clock.now(), update, listed, before);
@@ -314,13 +345,13 @@
             if (status == 200) {
                 take(body.toString(StandardCharsets.UTF_8));
             } else {
-                failed();
+                failed("status " + status);
             }
         }
 
         @Override public void broken(boolean written) {
             over();
-            failed();
+            failed(written ? "no whole answer" : "it can't be reached");
         }
 
         private void over() {
--- /dev/null
+++ b/src/test/java/badgermux/it/DirectorIT.java
@@ -0,0 +1,104 @@
+package badgermux.it;
+
+import static badgermux.it.Program.member;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The real program under a director that fails, lags or replaces much at once. */
+@Timeout(60)
+class DirectorIT {
+    @TempDir private Path folder;
+    private Peer backend;
+    private Program program;
+
+    @BeforeEach void start() throws IOException {
+        backend = new Peer();
+        program = Program.onCall(folder, member("s-1", backend, "east", "SERVING"), 1024);
+    }
+
+    @AfterEach void stop() throws IOException {
+        program.close();
+        backend.close();
+    }
+
+    private void servedBy(Peer at) throws IOException, InterruptedException {
+        try (Client client = program.client()) {
+            client.send(Client.req("/preview", "5000m", "", ""));
+            at.take().done("r");
+            assertEquals(200, client.read().status());
+        }
+    }
+
+    private static String list(int revision, boolean complete, String members) {
+        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[" + members + "]}";
+    }
+
+    private static String members(int count, Peer at) {
+        return IntStream.range(0, count).mapToObj(i -> member("r-" + i, at, "west", "SERVING"))
+            .collect(Collectors.joining(","));
+    }
+
+    /** An older list once brought back who had left, and took away who had come. */
+    @Test void theListInHandGoesOnWhateverTheDirectorDoes() throws IOException, InterruptedException {
+        program.director.take().reply("200 OK", list(5, false, ""));
+        program.director.take().reply("503 Busy", "");
+        servedBy(backend);
+        program.director.take().reset();
+        program.director.take().send("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n" + list(6, true, "").substring(9)).reset();
+        servedBy(backend);
+        program.director.take().reply("200 OK", list(4, true, ""));
+        Peer.Call next = program.director.take();
+        assertTrue(next.head.startsWith("GET /v1/servers?since=5&"), next.head);
+        servedBy(backend);
+        assertEquals(4, program.count("director_failures"));
+        next.reply("200 OK", list(6, false, members(500, backend)));
+        program.director.take().reply("200 OK", list(7, true, member("s-1", backend, "east", "SERVING")));
+        program.director.take();
+        servedBy(backend);
+        assertEquals(1, program.figure("cluster_size"), "it has been 501");
+        program.process.toHandle().destroy();
+        List<String> log = new ArrayList<>();
+        for (String line = program.log(); line != null; line = program.log()) {
+            log.add(line);
+        }
+        assertEquals(1, log.stream().filter(line -> line.contains("the director fails: status 503")).count(), log::toString);
+        assertEquals(1, log.stream().filter(line -> line.contains("the director fails")).count(), "one line for all");
+        assertEquals(1, log.stream().filter(line -> line.contains("the director answers again")).count());
+    }
+
+    @Test void aDirectorThatTakesACallAndFallsSilentIsAskedAgain() throws IOException, InterruptedException {
+        Peer.Call silent = program.director.take();
+        assertTrue(silent.isEnded(), "after the wait that was asked for and a little more");
+        program.director.take();
+        servedBy(backend);
+    }
+
+    @Test void anAddressThatANewRunnerTakesOverIsItsOwn() throws IOException, InterruptedException {
+        Peer other = new Peer();
+        servedBy(backend);
+        program.director.take().reply("200 OK", list(2, false, member("s-1", backend, "east", "DELETED") + ','
+            + member("s-2", backend, "east", "SERVING")));
+        program.director.take().reply("200 OK", list(3, false, member("s-2", backend, "east", "DELETED") + ','
+            + member("s-1", other, "east", "SERVING")));
+        program.director.take();
+        for (int i = 0; i < 3; i++) {
+            servedBy(other);
+        }
+        assertNull(backend.peek(), "both ids have left this address");
+        assertEquals(1, program.figure("cluster_size"));
+        other.close();
+    }
+}
