Measure the cost of a decision and of a worker's news by the size of the list

DecideBench (JMH, src/bench) drives the module through whole jobs with probes, starts, timers and outcomes, with free, full and partly cold fleets.

--- /dev/null
+++ b/src/bench/java/badgermux/bench/DecideBench.java
@@ -0,0 +1,146 @@
+package badgermux.bench;
+
+import badgermux.decide.Dispatch;
+import badgermux.decide.Dispatch.Effect;
+import badgermux.decide.Dispatch.ListUpdate;
+import badgermux.decide.Dispatch.Outcome;
+import badgermux.decide.Dispatch.WorkerState;
+import badgermux.decide.Dispatcher;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * What the module takes for a job, from its request to its outcome with all probes and timers in between, and for the news
+ * of one worker, by the size of the list. A job comes each 20 ms and runs for 300 ms.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class DecideBench implements Dispatch.Actions {
+    private static final long RUN = 300_000, GAP = 20_000;
+
+    private record Due(long at, int token) { }
+
+    private record Sent(long due, long job, long worker) { }
+
+    /** How many workers are listed. */
+    @Param({"15", "60", "200", "1000"})
+    public int runners;
+
+    /** {@code free}: all have free slots; {@code full}: none has; {@code cold}: none has but those of the half that is cold. */
+    @Param({"free", "full", "cold"})
+    public String fleet;
+
+    private final PriorityQueue<Due> timers = new PriorityQueue<>(Comparator.comparingLong(Due::at));
+    private final ArrayDeque<Long> probes = new ArrayDeque<>();
+    private final ArrayDeque<Sent> out = new ArrayDeque<>();
+    private final ArrayDeque<Sent> sent = new ArrayDeque<>();
+    private final Dispatch.Report report = new Dispatch.Report();
+    private Dispatcher module;
+    private List<Dispatch.Worker> workers;
+    private long now;
+    private long job;
+
+    @Setup public void set() {
+        Dispatch.Settings s = new Dispatch.Settings();
+        s.dispatchers = 14;
+        s.probes = true;
+        s.reports = Dispatch.ReportMode.ON_PROBE;
+        s.cancels = true;
+        s.maxAttempts = 1;
+        s.tellsStart = true;
+        s.connectionIdle = 15_000_000;
+        s.coldShare = 0.15;
+        s.coldFor = 1L << 39;
+        s.fallMultiple = 3;
+        s.fallWindow = 2_000_000;
+        s.classes.add(new Dispatch.JobClass("preview", Effect.REPEATABLE, Dispatch.Scope.ALL, 600_000, 1.75, 10_000_000, 0, 1,
+            0, -1, false));
+        now = 1L << 40;
+        long cold = fleet.equals("cold") ? now : 0;
+        workers = new ArrayList<>(IntStream.range(0, runners).mapToObj(i -> new Dispatch.Worker(i * 0x9E3779B97F4A7C15L, i % 2,
+            0, i / 4, WorkerState.READY, i % 2 == 0 ? 0 : cold)).toList());
+        module = new Dispatcher(s, 7, this);
+        module.workers(now, ListUpdate.FULL, workers);
+    }
+
+    @Benchmark public int job() {
+        now += GAP;
+        while (!timers.isEmpty() && timers.peek().at <= now) {
+            module.timer(now, timers.poll().token);
+            start();
+        }
+        while (!out.isEmpty() && out.peek().due <= now) {
+            Sent done = out.poll();
+            module.outcome(now, done.job, 0, done.worker, Outcome.SERVED, true, null);
+            start();
+        }
+        module.request(now, new Dispatch.Job(job++, 0, 0, 1, 0, 10_000_000));
+        start();
+        while (!probes.isEmpty()) {
+            long id = probes.poll();
+            boolean cold = workers.get((int) Long.remainderUnsigned(id * 0xF1DE83E19937733DL, runners)).startedAt() > 0;
+            report.freeSlots = fleet.equals("free") || cold ? 4 : 0;
+            module.probed(now, id, true, report);
+            start();
+        }
+        return out.size();
+    }
+
+    @Benchmark public int oneWorkersNews() {
+        now += GAP;
+        module.workers(now, ListUpdate.DELTA, List.of(workers.get((int) (now / GAP % runners))));
+        return runners;
+    }
+
+    @Override public void send(long id, long worker) {
+        sent.add(new Sent(now + RUN, id, worker));
+    }
+
+    /** What was sent starts once the event that sent it has been dealt with, as in the engine. */
+    private void start() {
+        for (Sent next = sent.poll(); next != null; next = sent.poll()) {
+            out.add(next);
+            module.started(now, next.job, 0);
+        }
+    }
+
+    @Override public void timer(long delay, int token) {
+        timers.add(new Due(now + delay, token));
+    }
+
+    @Override public void probe(long worker) {
+        probes.add(worker);
+    }
+
+    @Override public void refuse(long id, long comeBack) { }
+
+    @Override public void fail(long id) { }
+
+    @Override public void cancel(long id, int attempt) { }
+
+    @Override public void release(long worker) { }
+
+    @Override public void watch() { }
+
+    @Override public void log(String line) { }
+}
