Test: with 200 runners on 128 descriptors idle connections make room

The real jar lists 200 runners and may hold 44 connections to them; 60 reqs with their probes open over 100, none is refused for want of one. Without the closing of idle ones in Backends.connect it fails.

--- a/src/test/java/badgermux/it/DirectorIT.java
+++ b/src/test/java/badgermux/it/DirectorIT.java
@@ -101,4 +101,25 @@
         assertEquals(1, program.figure("cluster_size"));
         other.close();
     }
+
+    /** 44 connections to runners are all that 128 descriptors leave: each probe of one more closes an idle one. */
+    @Test void withTwoHundredRunnersIdleConnectionsMakeRoom() throws IOException, InterruptedException {
+        String probing = Program.SETTINGS.replace("\"silent\"", "\"pull\"").replace("\"Cancel\"", "\"Probes\":true,\"Cancel\"");
+        try (Program small = new Program(folder, members(200, backend), 128, probing); Client client = small.client()) {
+            for (int i = 0; i < 60; i++) {
+                client.send(Client.req("/preview", "5000m", "", ""));
+                Peer.Call call = backend.take();
+                while (call.head.startsWith("GET")) {
+                    call.reply("200 OK", "TEXT x0=2, x1=2, recent_ms=0, throughput=0");
+                    call = backend.take();
+                }
+                call.done("r");
+                assertEquals(200, client.read().status());
+            }
+            assertTrue(small.count("backend_connects") > 100, "far more than fit");
+            assertTrue(small.count("backend_connections_open") <= 44);
+            assertEquals(0, small.count("backend_connections_over_cap"));
+            assertEquals(60, small.count("fetches_served"));
+        }
+    }
 }
