Find runners whose names have blanks; end connections in order; take unsent fetches back

One mapping, core.Names, is used by all now; names that it makes alike are refused at the start. Rejected: to keep raw names in the settings, as the simulator's wire has no others.

LearntFile was believed where class and kind names matched, the upgrade's heritage by its length alone. Both carry a fingerprint of all settings now.

One way to end a connection: write, shut, hear out for 0.5 s or 1 MB, close; where nobody more can be let in for 60 ms. - Front.LAST_ANSWER was 3.3 s for all; it follows from the longest deadline now, and what is read later is turned away. - Reading was off behind 16 KiB sent ahead, so that a leave went unseen; it is never off now, 1 MB and the common bound on bodies hold, and what goes beyond ends the connection. - A fetch whose connection was still coming up was written although its client had left (where cancels are not allowed), had its answer, or its runner drained, had gone or moved meanwhile. Such a fetch is taken back; its outcome is MOOT. - Engine.tell failed a request after an exception and left it with the module; an exception in an answer kept its outcome from the module. - Director.take: an exception after over() left no call and told no failure. The shutdown hook stands before clients are let in, and the end waits 0.2 s for its counters to be read.

--- a/src/main/java/badgermux/Learnt.java
+++ b/src/main/java/badgermux/Learnt.java
@@ -3,12 +3,10 @@
 import badgermux.config.Config;
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
-import badgermux.decide.Dispatch;
 import badgermux.decide.Dispatch.Heritage;
 import badgermux.upgrade.LearntFile;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.tinylog.Logger;
@@ -32,7 +30,7 @@
     /** Reads what the process before left in {@code folder}, which may be null: then nothing is read or kept. */
     Learnt(String folder, Config config) {
         file = folder == null || folder.isBlank() ? null : new LearntFile(Path.of(folder,
-            "badgermux-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_")), names(config));
+            "badgermux-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_")), config.fingerprint());
         before = file == null ? null : file.read(System.currentTimeMillis());
         writer = file == null ? null : Executors.newSingleThreadExecutor(work -> {
             Thread thread = new Thread(work, "learnt");
@@ -41,11 +39,6 @@
         });
     }
 
-    private static String names(Config config) {
-        List<String> classes = config.settings().classes.stream().map(Dispatch.JobClass::name).toList();
-        return classes + " on " + config.kinds();
-    }
-
     /** Called on the event loop, once the module has its list. */
     void join(Engine<?> of, Deadlines deadlines) {
         engine = of;
--- a/src/main/java/badgermux/OnCall.java
+++ b/src/main/java/badgermux/OnCall.java
@@ -57,15 +57,17 @@
      * @param name    the dispatcher's: what is kept is kept under it
      * @param coldFor how long a runner that came back is cold
      * @param folder  $TMPDIR; null where nothing can be kept
+     * @param fingerprint of all settings
      */
-    OnCall(String name, long coldFor, String folder, EventLoopGroup loop, Clock clock) {
+    OnCall(String name, long coldFor, String folder, EventLoopGroup loop, Clock clock, String fingerprint) {
         this.loop = loop;
         this.clock = clock;
         hands = new Hands(coldFor);
         Path kept = folder == null || folder.isBlank() ? null
             : Path.of(folder, "badgermux-" + name.replaceAll("[^A-Za-z0-9_.-]", "_"));
         this.folder = open(kept, coldFor);
-        upgrade = new Upgrade(loop, clock, hands, this.folder == null ? null : kept.resolve("console"), writer);
+        upgrade = new Upgrade(loop, clock, hands, this.folder == null ? null : kept.resolve("console"), writer,
+            fingerprint);
     }
 
     /** Null where nothing can be kept, which the log says. */
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -13,6 +13,7 @@
 import badgermux.director.ListDecoder;
 import badgermux.front.Front;
 import badgermux.http.Relay;
+import badgermux.log.AsideWriter;
 import badgermux.metrics.Metrics;
 import badgermux.metrics.Metrics.Count;
 import badgermux.zone.ZonePolicy;
@@ -35,6 +36,8 @@
 final class Server {
     /** The part of all memory that bodies may hold until their reqs are answered: 12 MB of 192. */
     private static final int HELD_PART = 16;
+    /** How long the end waits for its counters, and then its log, to be written, in milliseconds. */
+    private static final long PRINTING = 200;
 
     private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Clock clock = new Clock();
@@ -48,8 +51,12 @@
     private OnCall onCall;
     private Learnt learnt;
     private Future<?> alarm;
+    /** The counters, as the end has them. */
+    private volatile String printed = "";
     private Front front;
     private Director director;
+    /** Whether SIGTERM has come, on the event loop. */
+    private boolean ended;
 
     private Server(Map<String, String> environment, ServeOptions options) {
         this.environment = environment;
@@ -75,13 +82,27 @@
         metrics = new Metrics(config.settings().classes.stream().map(Dispatch.JobClass::name).toList());
         deadlines = new Deadlines(clock::now, this::alarm, metrics);
         onCall = config.admin() == null ? null
-            : new OnCall(config.name(), config.settings().coldFor, environment.get("TMPDIR"), loop, clock);
+            : new OnCall(config.name(), config.settings().coldFor, environment.get("TMPDIR"), loop, clock,
+                config.fingerprint());
         operators = options == null ? null : new Operators(options, loop, clock::now);
         ZonePolicy zones = operators == null ? null : operators.zones(config.zones(), config.settings());
         // An upgrade's process is told by the one that still serves.
         learnt = new Learnt(config.inherits() ? null : environment.get("TMPDIR"), config);
         CompletableFuture<ChannelFuture> front = new CompletableFuture<>();
+        // Before clients are let in: what they hand in is answered, however soon SIGTERM comes.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         loop.execute(() -> begin(config, zones, held, front));
+        try {
+            serve(config, front);
+        } catch (ConfigException e) {
+            quiet.countDown();      // there is nothing to end
+            throw e;
+        }
+        started.countDown();
+        quiet.await();
+    }
+
+    private void serve(Config config, CompletableFuture<ChannelFuture> front) throws ConfigException, InterruptedException {
         try {
             await("GW_LISTEN (listen)", front.get());
             if (onCall != null) {
@@ -89,13 +110,10 @@
                 await("GW_ADMIN (admin)", bound);
                 Logger.info("operators call on {}", bound.channel().localAddress());
             }
-            Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
             Logger.info("{} listens on {}", config.name(), this.front.address());
         } catch (ExecutionException e) {
             throw new ConfigException("settings: " + e.getCause().getMessage());
         }
-        started.countDown();
-        quiet.await();
     }
 
     /** The socket that is held for us. */
@@ -134,6 +152,9 @@
     }
 
     private ChannelFuture start(Config config, ZonePolicy zones, ServerSocketChannel held, ListDecoder.Listing known) {
+        if (ended) {
+            throw new IllegalStateException("ended before clients were let in");
+        }
         Dispatch.Settings settings = config.settings();
         Room room = Room.of(config.sockets(), onCall != null);
         Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, settings.maxAttempts);
@@ -189,19 +210,40 @@
 
     /** The process goes on until this returns: once all that was taken is answered. */
     private void end() {
-        loop.execute(() -> {
-            if (onCall != null) {
-                onCall.upgrade().ending();
-            }
-            front.drain(this::drained);
-        });
         try {
-            quiet.await();
+            if (quiet.getCount() > 0) {
+                loop.execute(this::drain);
+                quiet.await();
+                // Guards against an end that waits for those who read what it prints: the answers are out.
+                Thread printer = new Thread(() -> {
+                    System.out.print(printed);
+                    System.out.flush();
+                }, "printer");
+                printer.setDaemon(true);
+                printer.start();
+                printer.join(PRINTING);
+            }
+            AsideWriter.finish(PRINTING);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void drain() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (onCall != null && front != null) {
+            onCall.upgrade().ending();
+        }
+        if (front == null) {
+            quiet.countDown();      // nobody was let in yet, and nobody is from here on
+        } else {
+            front.drain(this::drained);
+        }
+    }
+
     private void drained() {
         if (operators != null) {
             operators.close();
@@ -209,8 +251,7 @@
         if (onCall != null) {
             onCall.close();
         }
-        System.out.print(metrics.text());
-        System.out.flush();
+        printed = metrics.text();
         learnt.end(quiet::countDown);
     }
 }
--- a/src/main/java/badgermux/Upgrade.java
+++ b/src/main/java/badgermux/Upgrade.java
@@ -48,6 +48,7 @@
     private final EventLoopGroup loop;
     private final Clock clock;
     private final Hands hands;
+    private final String fingerprint;
     private final Path address;
     private final Executor writer;
     private final Succession succession = new Succession();
@@ -73,8 +74,10 @@
      *
      * @param address where this one writes where the next one may call, and reads where the one before did; null for nowhere
      * @param writer  writes it
+     * @param fingerprint of all settings: only what was learnt under the same is taken over
      */
-    Upgrade(EventLoopGroup loop, Clock clock, Hands hands, Path address, Executor writer) {
+    Upgrade(EventLoopGroup loop, Clock clock, Hands hands, Path address, Executor writer, String fingerprint) {
+        this.fingerprint = fingerprint;
         this.loop = loop;
         this.clock = clock;
         this.hands = hands;
@@ -261,7 +264,7 @@
             case "SERVING" -> handOver(link);
             case "LEFT" -> {
                 succession.handedOver();
-                engine.inherit(Heritages.decode(line.substring(parts[0].length())));
+                engine.inherit(Heritages.decode(line.substring(parts[0].length()), fingerprint));
             }
             case "OPEN" -> {
                 if (link == before) {
@@ -323,7 +326,7 @@
             // What is left to answer here needs no cold runner; their budget is the next process's.
             hands.restCold(clock.now());
             director.allSeenAnew();
-            to.send("LEFT " + Heritages.encode(engine.leave()));
+            to.send("LEFT " + Heritages.encode(engine.leave(), fingerprint));
             front.handOver();
             Logger.info("handed over: the next process serves");
         }
--- a/src/main/java/badgermux/backend/Backends.java
+++ b/src/main/java/badgermux/backend/Backends.java
@@ -84,12 +84,14 @@
         if (!address.equals(backend.address)) {
             backend.address = address;
             closeIdle(backend);
+            takeBack(id);
         }
     }
 
     /** The list names a backend no more: what is out there may end, and nothing new begins. */
     public void forget(long id) {
         release(id);
+        takeBack(id);
         backends.remove(id);
     }
 
@@ -113,6 +115,25 @@
         }
     }
 
+    @Override public boolean withdraw(long fetch) {
+        FetchExchange exchange = fetches.get(fetch);
+        boolean unsent = exchange != null && !exchange.isBegun();
+        if (unsent) {
+            abort(fetch);
+        }
+        return unsent;
+    }
+
+    /**
+     * Guards against a connection that comes up late and takes a fetch to a backend that by then drains, is gone or has
+     * another address: what has not begun to be written is taken back, and the module decides anew.
+     */
+    public void takeBack(long id) {
+        Backend backend = backends.get(id);
+        fetches.entrySet().stream().filter(e -> e.getValue().on().backend == backend && !e.getValue().isBegun())
+            .map(Map.Entry::getKey).toList().forEach(engine::withdraw);
+    }
+
     @Override public void probe(long id) {
         Backend backend = backends.get(id);
         Pooled pooled = backend == null ? null : connect(backend);
--- a/src/main/java/badgermux/backend/FetchExchange.java
+++ b/src/main/java/badgermux/backend/FetchExchange.java
@@ -26,6 +26,7 @@
     private byte[] result;
     private Report report;
     private Terms.Lines judge;
+    private boolean begun;
     private boolean streams;
     private boolean told;
     private Deadlines.Deadline tail;
@@ -44,7 +45,13 @@
         return pooled;
     }
 
+    /** Whether it has been handed to its connection's socket: from then on its backend may hear of it. */
+    boolean isBegun() {
+        return begun;
+    }
+
     @Override public ByteBuf request() {
+        begun = true;
         return relay.encode(host, Math.max(1, (limit - backends.now()) / 1000));
     }
 
--- a/src/main/java/badgermux/config/Config.java
+++ b/src/main/java/badgermux/config/Config.java
@@ -1,5 +1,6 @@
 package badgermux.config;
 
+import badgermux.core.Names;
 import badgermux.decide.Dispatch;
 import badgermux.director.ListDecoder;
 import badgermux.http.Address;
@@ -34,10 +35,11 @@
  * @param zones           the names of the zones, in the module's order
  * @param kinds           the names of the kinds of backends, in the module's order
  * @param connectTimeout  how long a connection may take to come up, in microseconds
+ * @param fingerprint     of all settings: what was learnt under others is not ours
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress director, InetSocketAddress admin,
         boolean inherits, long seed, int sockets, int memoryMb, ListDecoder.Listing known, Dispatch.Settings settings,
-        List<String> zones, List<String> kinds, long connectTimeout) {
+        List<String> zones, List<String> kinds, long connectTimeout, String fingerprint) {
     private static final int DEFAULT_SOCKETS = 1024, FEWEST_SOCKETS = 128;
     private static final int DEFAULT_MEMORY_MB = 192, LEAST_MEMORY_MB = 32;
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 250;
@@ -85,6 +87,7 @@
             Map<String, String> pairs = new TreeMap<>();
             flatten("", root.get("settings"), pairs);
             Dispatch.Settings settings = settings(pairs);
+            once("settings.RequestClasses", settings.classes.stream().map(Dispatch.JobClass::name).toList());
             double connect = number(pairs.get("Ceilings.ConnectTimeoutMs"), "settings.Ceilings.ConnectTimeoutMs",
                 DEFAULT_CONNECT_TIMEOUT_MS);
             if (connect <= 0) {
@@ -92,7 +95,8 @@
             }
             return new Config(text("GW_NAME", "name", "dispatcher"), endpoint("GW_LISTEN", "listen"),
                 endpoint("GW_DISCOVERY", "discovery"), admin(), inherits(), seed(), sockets(), memoryMb(), known(), settings,
-                names(pairs, "FailureDomains"), names(pairs, "Kinds"), Math.round(connect * 1000));
+                names(pairs, "FailureDomains"), names(pairs, "Kinds"), Math.round(connect * 1000),
+                Names.fingerprint(pairs.toString()));
         }
 
         /** The settings object in the simulator's form: path=value pairs, plain lists joined, object lists counted. */
@@ -117,7 +121,7 @@
         }
 
         private static String plain(JsonElement value) {
-            return value.isJsonPrimitive() ? value.getAsString().replace(' ', '_').replace(',', '_') : "";
+            return value.isJsonPrimitive() ? Names.plain(value.getAsString()) : "";
         }
 
         private static Dispatch.Settings settings(Map<String, String> pairs) throws ConfigException {
@@ -128,8 +132,16 @@
             }
         }
 
-        private static List<String> names(Map<String, String> pairs, String key) {
-            return Arrays.asList(pairs.getOrDefault(key, "").split(","));
+        private static List<String> names(Map<String, String> pairs, String key) throws ConfigException {
+            return once("settings." + key, Arrays.asList(pairs.getOrDefault(key, "").split(",")));
+        }
+
+        /** Guards against names that can't be told apart, as blanks and commas are read as underscores. */
+        private static List<String> once(String key, List<String> names) throws ConfigException {
+            if (Names.twice(names) != null) {
+                throw new ConfigException(key + " has a name twice: " + Names.twice(names));
+            }
+            return names;
         }
 
         private String text(String variable, String key, String otherwise) throws ConfigException {
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -232,7 +232,7 @@
         } else if (outcome == Outcome.SERVED && !r.over) {
             close(r);
             metrics.ended(Ending.ANSWERED, r.jobClass);
-            r.asker.served(result);
+            answer(() -> r.asker.served(result));
         }
         tell(f.req, () -> {
             module.outcome(clock.getAsLong(), f.req, f.attempt, f.backend, outcome, r.over, report);
@@ -243,13 +243,38 @@
     private void failReq(Req<P> r, boolean late) {
         close(r);
         metrics.ended(Ending.ERRORED, r.jobClass);
-        r.asker.failed(late);
+        answer(() -> r.asker.failed(late));
+    }
+
+    /** Guards against an outcome that the module never hears of, since its client's connection had an exception. */
+    private void answer(Runnable asker) {
+        try {
+            asker.run();
+        } catch (RuntimeException e) {
+            metrics.add(Count.EXCEPTIONS);
+            Logger.error(e, "exception at an answer");
+        }
     }
 
     private void close(Req<P> r) {
         r.over = true;
         open--;
         deadlines.cancel(r.overdue);
+        // Guards against a connection that comes up late and takes a fetch whose client has left or has its answer,
+        // also where nothing that was sent may be cancelled: none of this one was.
+        for (long handle : List.copyOf(r.fetches)) {
+            withdraw(handle);
+        }
+    }
+
+    /** Takes a fetch back of which nothing has been written: it surely never ran. */
+    public void withdraw(long fetch) {
+        Fetch f = fetches.get(fetch);
+        if (f != null && outbound.withdraw(fetch)) {
+            fetches.remove(fetch);
+            deadlines.cancel(f.limit);
+            tell(f.req, () -> over(f, Outcome.MOOT, null, null));
+        }
     }
 
     /** A req leaves the table once nothing more can be told of it. */
@@ -274,6 +299,8 @@
                 Req<P> r = reqs.get(req);
                 if (r != null && !r.over) {
                     failReq(r, false);
+                    // Guards against a req that has its answer and that the module goes on holding, and sends later.
+                    leave(req);
                 }
                 forget(req);
             }
@@ -317,7 +344,7 @@
         if (r != null && !r.over) {
             close(r);
             metrics.ended(Ending.DEFERRED, r.jobClass);
-            r.asker.synthetic(comeBack);
+            answer(() -> r.asker.synthetic(comeBack));
             tell(job, () -> forget(job));
         }
     }
--- a/src/main/java/badgermux/core/Outbound.java
+++ b/src/main/java/badgermux/core/Outbound.java
@@ -13,6 +13,12 @@
     /** Gives a fetch up; nothing more is told of it. */
     void abort(long fetch);
 
+    /**
+     * Gives a fetch up if no byte of it has been written, and tells whether it has: then its backend never hears of it,
+     * and nothing more is told of it.
+     */
+    boolean withdraw(long fetch);
+
     /** Asks a backend for its load; answered once by {@link Engine#probed}. */
     void probe(long backend);
 
--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -4,6 +4,7 @@
 import badgermux.core.Clock;
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
+import badgermux.core.Names;
 import badgermux.decide.Dispatch;
 import badgermux.decide.Dispatch.ListUpdate;
 import badgermux.decide.Dispatch.WorkerState;
@@ -39,8 +40,11 @@
             Map<Long, Dispatch.Worker> before);
     }
 
-    /** How long a watch call asks the director to wait for news, and how much longer its answer is waited for. */
-    private static final long WAIT = 5_000_000, GRACE = 1_900_000;
+    /**
+     * How long a watch call asks the director to wait for news, and how much longer its answer is waited for. What a call
+     * that fell silent misses counts as told 2 s after its wait: half of that is for the call that is made anew then.
+     */
+    private static final long WAIT = 5_000_000, GRACE = 1_000_000;
     /** A director whose answers stay older than the list in hand for so long has begun anew: it is asked for all. */
     private static final long BEHIND = 2 * WAIT;
     /** An agent that pushes is called again so soon after a failed call: a watch goes on over 200 ms at most. */
@@ -77,6 +81,8 @@
     private long behindSince;
     private boolean listed;
     private boolean failing;
+    /** Whether the call before this one got no answer in time. */
+    private boolean silent;
     /** Whether it is another director that is asked now, which may count revisions of its own. */
     private boolean moved;
 
@@ -137,10 +143,36 @@
         if (connection == null || !connection.isReusable()) {
             connection = new ClientConnection(loop, deadlines, address, GRACE, MAX_LIST, () -> { });
         }
-        ClientConnection used = connection;
         // Guards against a director that takes the call and falls silent.
-        call.limit = deadlines.after(WAIT + GRACE, used::close);
-        used.start(call);
+        call.limit = deadlines.after(WAIT + GRACE, this::noAnswer);
+        connection.start(call);
+    }
+
+    /**
+     * A watch that has fallen silent is opened anew at once, on another connection: a drain that it missed counts as told
+     * soon, and after a pause, as behind a failure, the answer would come too late. A second silence is a failure.
+     */
+    private void noAnswer() {
+        if (silent) {
+            connection.close();
+        } else {
+            metrics.add(Count.DIRECTOR_SILENCES);
+            drop();
+            silent = true;
+            watch();
+        }
+    }
+
+    /** Forgets the call under way, of which the module hears nothing, and its connection. */
+    private void drop() {
+        if (call != null) {
+            deadlines.cancel(call.limit);
+            call = null;
+        }
+        if (connection != null) {
+            connection.abort();
+            connection = null;
+        }
     }
 
     /**
@@ -151,14 +183,8 @@
         if (!next.equals(address)) {
             address = next;
             moved = true;
-            if (call != null) {
-                deadlines.cancel(call.limit);
-                call = null;
-            }
-            if (connection != null) {
-                connection.abort();
-                connection = null;
-            }
+            silent = false;
+            drop();
         }
         watch();
     }
@@ -166,6 +192,7 @@
     /** The list in hand goes on. One line tells of the first failure: a director that is down fails many calls. */
     private void failed(String why) {
         metrics.add(Count.DIRECTOR_FAILURES);
+        silent = false;
         if (!failing) {
             Logger.warn("the director fails: {}; the list in hand goes on", why);
         }
@@ -176,14 +203,21 @@
         }
     }
 
+    /** Guards against a list that nobody watches any more: whatever comes of an answer, a call follows or a failure is told. */
     private void take(String json) {
-        ListDecoder.Listing listing;
         try {
-            listing = ListDecoder.decode(json);
+            takeList(ListDecoder.decode(json));
         } catch (JsonParseException e) {
             failed("its list is malformed: " + e.getMessage());
-            return;
+        } catch (RuntimeException e) {
+            metrics.add(Count.EXCEPTIONS);
+            Logger.error(e, "exception in a list");
+            revision = 0;   // what of it was not told comes again with the whole
+            failed("its list can't be used");
         }
+    }
+
+    private void takeList(ListDecoder.Listing listing) {
         if (listing.revision < revision && !moved) {
             older(listing.revision);
             return;
@@ -194,6 +228,7 @@
             Logger.info("the director answers again");
         }
         failing = false;
+        silent = false;
         metrics.add(Count.DIRECTOR_LISTS);
         revision = listing.revision;
         listed |= listing.complete || !listing.members.isEmpty();
@@ -220,7 +255,7 @@
             }
             workers.forEach(worker -> before.put(worker.id(), worker));
         }
-        engine.workers(update, hands == null ? workers : throughHands(update, workers));
+        toModule(update, hands == null ? workers : throughHands(update, workers));
         Set<Long> gone = new HashSet<>(update == ListUpdate.DELTA ? Set.of() : names.keySet());
         for (Dispatch.Worker worker : workers) {
             if (worker.state() == WorkerState.GONE) {
@@ -235,6 +270,13 @@
         }
     }
 
+    /** The module hears of it first, so that what is taken back from those that drain goes elsewhere. */
+    private void toModule(ListUpdate update, List<Dispatch.Worker> seen) {
+        engine.workers(update, seen);
+        seen.stream().filter(worker -> worker.state() == WorkerState.DRAINING)
+            .forEach(worker -> backends.takeBack(worker.id()));
+    }
+
     private List<Dispatch.Worker> throughHands(ListUpdate update, List<Dispatch.Worker> workers) {
         if (update != ListUpdate.DELTA) {
             believed.clear();
@@ -263,7 +305,7 @@
 
     /** Tells the module of all backends as they are seen now. */
     public void allSeenAnew() {
-        engine.workers(ListUpdate.DELTA, believed.values().stream()
+        toModule(ListUpdate.DELTA, believed.values().stream()
             .map(worker -> hands.seen(names.get(worker.id()), worker)).toList());
     }
 
@@ -272,7 +314,7 @@
         Long number = numbers.get(id);
         Dispatch.Worker worker = number == null ? null : believed.get(number);
         if (worker != null) {
-            engine.workers(ListUpdate.DELTA, List.of(hands.seen(id, worker)));
+            toModule(ListUpdate.DELTA, List.of(hands.seen(id, worker)));
         }
     }
 
@@ -295,8 +337,8 @@
         long id = number(member.id);
         WorkerState state = PHASES.get(member.phase);
         InetSocketAddress address = member.hostPort == null ? null : Address.parse(member.hostPort);
-        int zone = member.locality == null ? -1 : zones.indexOf(member.locality);
-        int kind = member.flavor == null ? -1 : kinds.indexOf(member.flavor);
+        int zone = Names.indexOf(zones, member.locality);
+        int kind = Names.indexOf(kinds, member.flavor);
         if (state == null || zone < 0 || kind < 0 || address == null && state != WorkerState.GONE) {
             return null;
         }
@@ -318,10 +360,7 @@
         if (known != null) {
             return known;
         }
-        long hash = 0xcbf29ce484222325L;
-        for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ b & 0xff) * 0x100000001b3L;
-        }
+        long hash = Names.hash(id);
         while (names.containsKey(hash)) {
             hash++;
         }
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -2,6 +2,7 @@
 
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
+import badgermux.core.Names;
 import badgermux.decide.Dispatch;
 import badgermux.http.Relay;
 import badgermux.metrics.Metrics;
@@ -32,8 +33,10 @@
     static final long CHANGEOVER = 700_000;
     /** So long clients may use the connections that they have, once more each: the next dispatcher may not be up yet. */
     static final long KEPT_ON = 500_000;
-    /** After SIGTERM the platform waits 3.7 s before it kills: who still waits by then is told what is known. */
-    static final long LAST_ANSWER = 3_300_000;
+    /** SIGKILL follows SIGTERM by the longest deadline, counted as so much where it is longer, and the changeover. */
+    static final long LONGEST_COUNTED = 3_000_000;
+    /** So long before that kill whoever still waits is told what is known: time to write, and to end. */
+    private static final long BEFORE_KILL = 400_000;
     private static final long QUIET_CHECK = 50_000;
     /** A client sends as soon as it is connected. One that has not by then may have to make room for others. */
     static final long SPARED = 300_000;
@@ -59,16 +62,19 @@
     private int overCap;
     private final long maxHeld;
     private final long comeBack;
+    private final long lastAnswer;
     private final Gate gate;
     private final LinkedHashSet<FrontConnection> connections = new LinkedHashSet<>();
     /** Those of which nothing has come yet, the oldest first. */
     private final LinkedHashSet<FrontConnection> fresh = new LinkedHashSet<>();
     /** Those that have begun a request, the one that has said nothing for longest first. */
     private final LinkedHashSet<FrontConnection> halfway = new LinkedHashSet<>();
-    /** Those between two requests that never brought a req, or that were rejected and are about to end. */
+    /** Those between two requests that never brought a req. */
     private final LinkedHashSet<FrontConnection> strangers = new LinkedHashSet<>();
     /** Those between two reqs, the one that has been so longest first. */
     private final LinkedHashSet<FrontConnection> resting = new LinkedHashSet<>();
+    /** Those that we have begun to end and that are heard out, the one that has been so longest first. */
+    private final LinkedHashSet<FrontConnection> ending = new LinkedHashSet<>();
     /** The ids of all reqs that wait for their answer. */
     private final Set<String> openIds = new HashSet<>();
     private Channel listener;
@@ -102,6 +108,7 @@
         keyed = IntStream.range(0, classes.size())
             .filter(c -> settings.classes.get(c).effect() == Dispatch.Effect.BY_KEY).boxed().collect(Collectors.toSet());
         comeBack = Math.min(COME_BACK, settings.longestComeBack);
+        lastAnswer = lastAnswer(patience.stream().mapToLong(Long::longValue).max().orElse(LONGEST_COUNTED));
         this.ready = ready;
         this.cap = cap;
         this.overCap = overCap;
@@ -110,6 +117,17 @@
         metrics.level("client_connections_open", connections::size);
     }
 
+    /**
+     * How long after SIGTERM all that is open is answered, in microseconds: a little before the kill, which comes the
+     * sooner the shorter all deadlines are.
+     *
+     * @param longestDeadline of all classes
+     */
+    static long lastAnswer(long longestDeadline) {
+        long kill = Math.min(longestDeadline, LONGEST_COUNTED) + CHANGEOVER;
+        return Math.max(kill / 2, kill - BEFORE_KILL);
+    }
+
     /** Listens on this address only. */
     public ChannelFuture listen(EventLoopGroup loop, InetSocketAddress at) {
         ChannelFuture bound = bootstrap(loop).channel(NioServerSocketChannel.class)
@@ -181,7 +199,7 @@
         }
         draining = true;
         drainedFrom = now();
-        deadlines.after(LAST_ANSWER, engine::ending);
+        deadlines.after(lastAnswer, engine::ending);
         if (inherited) {
             // Who connects from here on waits in the socket's queue for the next process, and is not refused.
             stopAccepting();
@@ -200,7 +218,7 @@
         List.copyOf(fresh).stream().filter(c -> now() - c.openedAt() >= SPARED).forEach(FrontConnection::close);
         // Guards against a req that has come whole so late that it can't be answered before we are killed.
         List.copyOf(halfway).stream().filter(c -> now() >= drainedFrom + CHANGEOVER
-            || !c.isMoving() && now() - c.heardAt() >= SPARED).forEach(FrontConnection::close);
+            || !c.isMoving() && now() - c.heardAt() >= SPARED).forEach(FrontConnection::turnBack);
         if (connections.isEmpty() && engine.open() == 0) {
             if (!inherited) {
                 listener.close();
@@ -220,7 +238,7 @@
 
     void opened(FrontConnection connection) {
         metrics.add(Count.CLIENT_CONNECTIONS);
-        if (connections.size() >= cap) {
+        if (served() >= cap) {
             makeRoom();
         }
         connections.add(connection);
@@ -249,11 +267,26 @@
             return false;
         }
         metrics.add(Count.CLIENT_CONNECTIONS_EVICTED);
-        closed(victim);    // at once: its end is told later, and until then it would be chosen again
         victim.close();
         return true;
     }
 
+    /** How many connections have not begun to end. */
+    private int served() {
+        return connections.size() - ending.size();
+    }
+
+    /** Guards against a crowd that is heard out while nobody more can be let in: each has its moment, and no more. */
+    private void cutOffEnding() {
+        for (FrontConnection connection : List.copyOf(ending)) {
+            if (connections.size() < cap + overCap || now() - connection.endedAt() < SPARED_IN_NEED) {
+                return;
+            }
+            closed(connection);     // at once: its end is told later
+            connection.cutOff();
+        }
+    }
+
     /** The first that is not moving and has said nothing since a time; null where there is none. */
     private static FrontConnection longSilent(LinkedHashSet<FrontConnection> of, long since) {
         for (FrontConnection connection : of) {
@@ -275,9 +308,10 @@
     private void acceptAgain() {
         acceptAgain = null;
         boolean room = true;
-        while (room && connections.size() > cap) {
+        while (room && served() > cap) {
             room = makeRoom();
         }
+        cutOffEnding();
         if (connections.size() < cap + overCap) {
             listener.config().setAutoRead(true);
         } else {
@@ -304,10 +338,12 @@
         leavesSets(connection);
     }
 
-    /** It was rejected and only waits for its end. */
+    /** It has begun to end, and is heard out. */
     void leaves(FrontConnection connection) {
         leavesSets(connection);
-        strangers.add(connection);
+        if (connections.contains(connection)) {
+            ending.add(connection);
+        }
     }
 
     void closed(FrontConnection connection) {
@@ -320,6 +356,7 @@
         halfway.remove(connection);
         strangers.remove(connection);
         resting.remove(connection);
+        ending.remove(connection);
     }
 
     /** Whether a req of this id waits for its answer. */
@@ -340,6 +377,11 @@
         return draining || handedOver;
     }
 
+    /** Whether what is taken now would be open when we are killed. */
+    boolean isPastLastAnswer() {
+        return draining && now() >= drainedFrom + lastAnswer;
+    }
+
     /** Whether as many reqs as connections are served wait for their answer: one more is turned away. */
     boolean isOverCap() {
         return openIds.size() >= cap;
@@ -403,7 +445,7 @@
 
     /** The number of a class; -1 where there is none of that name. */
     int classOf(String name) {
-        return classes.indexOf(name);
+        return Names.indexOf(classes, name);
     }
 
     /**
@@ -411,7 +453,7 @@
      * it gets the number behind the last, is counted, and served as traffic beyond a share is.
      */
     int tenantOf(String name) {
-        int tenant = name == null ? -1 : tenants.indexOf(name.replace(' ', '_').replace(',', '_'));
+        int tenant = Names.indexOf(tenants, name);
         if (tenant < 0 && !tenants.isEmpty()) {
             metrics.add(Count.TENANTS_UNKNOWN);
         }
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -31,13 +31,13 @@
     static final long WHOLE_WITHIN = 8_000_000;
     /** Bytes that come so long after others were sent apart: nobody's who left half a request behind. */
     private static final long APART = 20_000;
-    /** After a rejection the client has so long, and may send so much more, before the connection is cut off. */
-    private static final long LINGER = 500_000;
+    /** A connection that we end is heard out for so long, and for so many bytes more, before it is cut off. */
+    static final long LINGER = 500_000;
     private static final long MAX_DRAINED = 1 << 20;
     /** What the buffer of bytes not read yet holds before it has to grow. */
     private static final int FIRST_CAPACITY = 1024;
-    /** When so much waits behind a whole request that waits itself, no more is read until its turn. */
-    private static final int MAX_BEHIND = MessageReader.MAX_HEAD;
+    /** So much may be sent behind a whole request that waits itself: clients send one at a time. */
+    static final int MAX_AHEAD = 1 << 20;
 
     /** A request that is being read, or waits behind one that is not answered yet. */
     private static final class Incoming {
@@ -68,6 +68,8 @@
     private long heardAt;
     private boolean moving;
     private long drained;
+    private long endedAt;
+    private int ahead;
     private boolean known;
     private boolean busy;
     private boolean reading;
@@ -119,7 +121,7 @@
             drained += in.readableBytes();
             in.release();
             if (drained > MAX_DRAINED) {
-                close();
+                cutOff();
             }
             return;
         }
@@ -133,10 +135,6 @@
         pending.discardReadBytes().writeBytes(in);
         in.release();
         process();
-        // Guards against a heap full of what clients send ahead. Their leaving goes unnoticed meanwhile.
-        if (waiting != null && pending.readableBytes() > MAX_BEHIND) {
-            channel.config().setAutoRead(false);
-        }
     }
 
     /**
@@ -171,6 +169,20 @@
         }
         if (!closed && !ending) {
             rest();
+            boundAhead();
+        }
+    }
+
+    /**
+     * Guards against a heap full of what clients send ahead, and against a client that has left unnoticed: its end lies
+     * behind all that it sent, so reading is never off. What is beyond the bounds ends the connection.
+     */
+    private void boundAhead() {
+        int now = waiting == null ? 0 : pending.readableBytes();
+        if (now > MAX_AHEAD || !front.hold(now - ahead)) {
+            reject(413, "too much is sent ahead of an answer");
+        } else {
+            ahead = now;
         }
     }
 
@@ -278,6 +290,11 @@
             turnAway(jobClass);
             return;
         }
+        // Guards against a req that is taken so late that it would be open when we are killed.
+        if (front.isPastLastAnswer()) {
+            turnAway(jobClass);
+            return;
+        }
         if (current.noRoom) {
             turnAway(jobClass);
             return;
@@ -345,6 +362,10 @@
     }
 
     private void take(ReqHead fields, int jobClass, byte[] body) {
+        if (front.isPastLastAnswer()) {     // it has been judged for as long as that
+            turnAway(jobClass);
+            return;
+        }
         Relay relay = new Relay(fields.id(), fields.start(), fields.headers(), body, terms);
         // Guards against a patience beyond that of its class: the module would take all others for late.
         long patience = Math.min(fields.timeout() > 0 ? fields.timeout() : Long.MAX_VALUE, front.patience(jobClass));
@@ -390,38 +411,60 @@
         // Guards against a client left waiting on a connection whose answer could not be written.
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         if (keepAlive) {
-            channel.config().setAutoRead(true);
             process();
-        } else if (pending.isReadable() || waiting != null || incoming != null) {
-            linger(written);
         } else {
-            written.addListener(ChannelFutureListener.CLOSE);
+            linger(written);
         }
     }
 
     /** Ends the connection with an error. What it says of a req that is still open, too: nothing more comes of it. */
     private void reject(int status, String why) {
         front.metrics().add(Count.BAD_MESSAGES);
+        breakOff(status, "Rejected", why);
+    }
+
+    /** Half of a request has come, and the rest would come too late: it is told so, and may go to another process. */
+    void turnBack() {
+        breakOff(503, "Service Unavailable", "this process is ending");
+    }
+
+    private void breakOff(int status, String reason, String why) {
         long open = busy ? req : 0;
         over();
         keepAlive = false;
         if (open != 0) {
             front.engine().askerGone(open);
         }
-        linger(channel.writeAndFlush(Bytes.response(status, "Rejected", "", (why + "\n")
+        linger(channel.writeAndFlush(Bytes.response(status, reason, "", (why + "\n")
             .getBytes(StandardCharsets.UTF_8), false)));
     }
 
-    /** The answer goes out, then our side is closed; the other side is heard out for a moment. */
+    /**
+     * The one way in which a connection is ended from this side: what is written goes out, our side is shut, and the other
+     * side is heard out, for a bounded time and number of bytes. Guards against a close over unread bytes, also such that
+     * have not come up from the system yet: it is a reset, which takes the answer that is on its way with it. What is
+     * read from here on is no request of ours: its client, who sees the end, sends it once more.
+     */
     private void linger(ChannelFuture written) {
         ending = true;
+        endedAt = front.now();
         forgetInput();
-        channel.config().setAutoRead(true);
-        written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-        written.addListener(done -> channel.shutdownOutput());
         front.deadlines().cancel(limit);
-        limit = front.deadlines().after(LINGER, this::close);
+        limit = front.deadlines().after(SILENT_FOR, this::cutOff);
         front.leaves(this);
+        written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        written.addListener(done -> {
+            if (done.isSuccess() && !closed) {
+                channel.shutdownOutput();
+                front.deadlines().cancel(limit);
+                limit = front.deadlines().after(LINGER, this::cutOff);
+            }
+        });
+    }
+
+    /** When this side began to end it; 0 before. */
+    long endedAt() {
+        return endedAt;
     }
 
     private void over() {
@@ -438,6 +481,8 @@
     }
 
     private void forgetInput() {
+        front.hold(-ahead);
+        ahead = 0;
         release(incoming);
         release(waiting);
         incoming = null;
@@ -452,8 +497,16 @@
         }
     }
 
-    /** Closes from this side. */
+    /** Ends it from this side, in order; once. */
     void close() {
+        if (!closed && !ending) {
+            keepAlive = false;
+            linger(channel.newSucceededFuture());
+        }
+    }
+
+    /** Closes at once, whatever may still be coming. */
+    void cutOff() {
         channel.close();
     }
 
@@ -471,13 +524,17 @@
     }
 
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!(cause instanceof IOException)) {
-            front.metrics().add(Count.EXCEPTIONS);
-            Logger.error(cause, "exception on a client's connection");
+        if (cause instanceof IOException) {
+            cutOff();
+            return;
         }
-        if (busy && req == 0 && !closed) {
-            failed(false);
+        front.metrics().add(Count.EXCEPTIONS);
+        Logger.error(cause, "exception on a client's connection");
+        // Guards against a req that ends without an answer: an exception ends it, but tells its client so.
+        if (closed || ending) {
+            cutOff();
+        } else {
+            breakOff(500, "Internal Server Error", "an exception");
         }
-        ctx.close();
     }
 }
--- a/src/main/java/badgermux/front/ReqHead.java
+++ b/src/main/java/badgermux/front/ReqHead.java
@@ -1,7 +1,10 @@
 package badgermux.front;
 
+import badgermux.core.Names;
 import badgermux.http.BadMessage;
 import badgermux.http.Head;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -35,9 +38,9 @@
         if (!target.startsWith("/") || target.indexOf('#') >= 0) {
             throw new BadMessage(400, "the target is no path");
         }
-        String path = target.split("[/?]", 3)[1];
+        String path = unescaped(target.split("[/?]", 3)[1]);
         String named = head.get("X-Priority-Class");
-        if (named != null && !named.equals(path)) {
+        if (named != null && !Names.plain(named).equals(Names.plain(path))) {
             throw new BadMessage(400, "X-Priority-Class is not the path's");
         }
         String key = head.get("Idempotency-Key");
@@ -47,6 +50,15 @@
             timeout(head.get("X-Timeout")), method + ' ' + target + " HTTP/1.1", headers.toString());
     }
 
+    /** A class's name may hold what a path writes with %. */
+    private static String unescaped(String segment) throws BadMessage {
+        try {
+            return segment.indexOf('%') < 0 ? segment : URLDecoder.decode(segment.replace("+", "%2B"), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            throw new BadMessage(400, "the target's % stands for nothing");
+        }
+    }
+
     private static double slots(String attributes) throws BadMessage {
         for (String pair : attributes == null ? new String[0] : attributes.split(",")) {
             String[] parts = pair.strip().split("=", 2);
--- a/src/main/java/badgermux/http/ClientConnection.java
+++ b/src/main/java/badgermux/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
@@ -54,17 +55,27 @@
         ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(this)
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0).connect(to);
         channel = connecting.channel();
+        EventLoop owner = loop.next();
         connecting.addListener(done -> {
-            deadlines.cancel(connectLimit);
-            if (done.isSuccess()) {
-                connected = true;
-                write();
+            // Guards against a socket that could not be opened, for want of descriptors: that is told on another thread.
+            if (owner.inEventLoop()) {
+                connected(done.isSuccess());
             } else {
-                close();
+                owner.execute(() -> connected(done.isSuccess()));
             }
         });
     }
 
+    private void connected(boolean up) {
+        deadlines.cancel(connectLimit);
+        if (up) {
+            connected = true;
+            write();
+        } else {
+            close();
+        }
+    }
+
     /** Sends an exchange's request, as soon as the connection is up. */
     public void start(Exchange next) {
         if (exchange != null) {
--- /dev/null
+++ b/src/main/java/badgermux/log/package-info.java
@@ -0,0 +1,2 @@
+/** The log, written beside the event loop. */
+package badgermux.log;
--- a/src/main/java/badgermux/upgrade/Heritages.java
+++ b/src/main/java/badgermux/upgrade/Heritages.java
@@ -14,8 +14,8 @@
 public final class Heritages {
     private Heritages() { }
 
-    /** The line, without its end. */
-    public static String encode(Heritage left) {
+    /** The line, without its end; {@code of} is the fingerprint of the settings that it was learnt under. */
+    public static String encode(Heritage left, String of) {
         JsonArray learnt = new JsonArray();
         for (double figure : left.learnt()) {
             learnt.add(Double.isFinite(figure) ? figure : 0);
@@ -29,15 +29,20 @@
             pushes.add(one);
         }
         JsonObject line = new JsonObject();
+        line.addProperty("of", of);
         line.add("learnt", learnt);
         line.add("pushes", pushes);
         return line.toString();
     }
 
-    /** What {@link #encode} made the line of; an exception where it made none such. */
-    public static Heritage decode(String line) {
+    /** What {@link #encode} made the line of; an exception where it made none such, or under other settings than these. */
+    public static Heritage decode(String line, String of) {
         try {
             JsonObject from = JsonParser.parseString(line).getAsJsonObject();
+            // Guards against figures of another customer, or of a configuration before: as many may stand for others.
+            if (!from.get("of").getAsString().equals(of)) {
+                throw new JsonParseException("it was learnt under other settings");
+            }
             double[] learnt = from.getAsJsonArray("learnt").asList().stream().mapToDouble(JsonElement::getAsDouble).toArray();
             List<Push> pushes = new ArrayList<>();
             for (JsonElement push : from.getAsJsonArray("pushes")) {
--- a/src/main/java/badgermux/upgrade/LearntFile.java
+++ b/src/main/java/badgermux/upgrade/LearntFile.java
@@ -28,7 +28,7 @@
      * Names the file; nothing is read or made yet.
      *
      * @param folder where it is kept, made when it is first written
-     * @param of     the names of classes and kinds: what was learnt of others is not read
+     * @param of     the fingerprint of all settings: what was learnt under others is not read
      */
     public LearntFile(Path folder, String of) {
         file = folder.resolve("learnt");
@@ -36,7 +36,7 @@
     }
 
     /**
-     * What the process before left; null where it left nothing, long ago, or of other classes. Where that process may
+     * What the process before left; null where it left nothing, long ago, or under other settings. Where that process may
      * have been killed, what it sent last is not known: then the pushes are null.
      *
      * @param now Unix time in milliseconds
@@ -52,7 +52,7 @@
             if (lines.length < 2 || !head.get("of").getAsString().equals(of) || age < 0 || age > MOST_AGE) {
                 return null;
             }
-            Heritage left = Heritages.decode(lines[1]);
+            Heritage left = Heritages.decode(lines[1], of);
             return head.get("ended").getAsBoolean() ? left : new Heritage(left.learnt(), null);
         } catch (IOException | RuntimeException e) {
             // Guards against a start that fails for it: nothing is learnt from a file that can't be read.
@@ -75,7 +75,7 @@
         head.addProperty("ended", ended);
         Files.createDirectories(file.getParent());
         Path next = file.resolveSibling("learnt.new");
-        Files.write(next, (head + "\n" + Heritages.encode(left) + "\n").getBytes(StandardCharsets.UTF_8));
+        Files.write(next, (head + "\n" + Heritages.encode(left, of) + "\n").getBytes(StandardCharsets.UTF_8));
         Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 }
--- a/src/test/java/badgermux/config/ConfigTest.java
+++ b/src/test/java/badgermux/config/ConfigTest.java
@@ -50,6 +50,19 @@
         assertTrue(told.contains(fault), told);
     }
 
+    /** Blanks and commas are read as underscores: two names that differ in those alone can't be told apart. */
+    @ParameterizedTest @CsvSource(delimiter = '|', value = {"[\"a\",\"b c\"]|[\"a b\",\"a_b\"]|Kinds", "[\"z\"]|[\"z 1\",\"z,1\"]|FailureDomains"})
+    void namesThatReadAlikeAreTold(String old, String by, String fault) {
+        String told = assertThrows(ConfigException.class, () -> read(GOOD.replace(old, by), Map.of())).getMessage();
+        assertTrue(told.contains(fault), told);
+    }
+
+    @Test void theFingerprintIsThatOfAllSettingsAndOfNothingElse() throws ConfigException, IOException {
+        String one = read(GOOD, Map.of()).fingerprint();
+        assertEquals(one, read(GOOD.replace("\"revision\":4", "\"revision\":5").replace("8c1f", "8c1e"), Map.of()).fingerprint());
+        assertTrue(!one.equals(read(GOOD.replace("\"GiveUpMs\":2000", "\"GiveUpMs\":2001"), Map.of()).fingerprint()));
+    }
+
     @Test void allIsReadAndTheEnvironmentGoesFirst() throws ConfigException, IOException {
         Config config = read(GOOD, Map.of("GW_LISTEN", "127.0.0.9:9"));
         assertEquals("127.0.0.9", config.listen().getHostString());
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -21,6 +21,7 @@
     private final List<String> answers = new ArrayList<>();
     private final List<Long> fetched = new ArrayList<>();
     private final List<Long> aborted = new ArrayList<>();
+    private final List<Long> unsent = new ArrayList<>();
     private final Metrics metrics = new Metrics(List.of("a", "b", "c"));
     private long now = SECOND;
     private final Deadlines deadlines = new Deadlines(() -> now, at -> { }, metrics);
@@ -53,6 +54,10 @@
                 aborted.add(fetch);
             }
 
+            @Override public boolean withdraw(long fetch) {
+                return unsent.remove(fetch);
+            }
+
             @Override public void probe(long backend) { }
 
             @Override public void release(long backend) { }
--- /dev/null
+++ b/src/test/java/badgermux/it/SettingsIT.java
@@ -0,0 +1,62 @@
+package badgermux.it;
+
+import static badgermux.it.Program.member;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The real program under settings of other customers: their names, and what was learnt under others. */
+@Timeout(60)
+class SettingsIT {
+    @TempDir private Path folder;
+
+    /** Not one runner of such a deployment was used: its zone and kind were compared with what the settings had become. */
+    @Test void namesWithBlanksAndCommasAreFoundInListsPathsAndHeaders() throws IOException, InterruptedException {
+        String settings = Program.SETTINGS.replace("\"east\"", "\"reef, east\"").replace("[\"k\"]", "[\"quad 4\"]")
+            .replace("\"preview\"", "\"photo set\"");
+        Peer backend = new Peer();
+        String runner = member("s-1", backend, "reef, east", "SERVING").replace("\"k\"", "\"quad 4\"");
+        try (Program program = new Program(folder, runner, 1024, settings); Client client = program.client()) {
+            for (String path : new String[] {"/photo%20set/7", "/photo_set"}) {
+                client.send(Client.req(path, "5000m", "X-Priority-Class: photo set\r\n", ""));
+                Peer.Call call = backend.take();
+                assertTrue(call.head.startsWith("POST " + path + " HTTP/1.1\r\n"), call.head);
+                call.done("r");
+                assertEquals(200, client.read().status());
+            }
+            assertEquals(0, program.count("director_entries_skipped"));
+            assertEquals(400, client.send(Client.req("/photo%zz", "5000m", "", "")).read().status());
+        }
+        backend.close();
+    }
+
+    private boolean goesOn(String settings) throws IOException, InterruptedException {
+        Peer backend = new Peer();
+        try (Program program = Program.in(folder, member("s-1", backend, "east", "SERVING"), settings)) {
+            try (Client client = program.client()) {
+                client.send(Client.req("/preview", "5000m", "", ""));
+                backend.take().done("r");
+                assertEquals(200, client.read().status());
+            }
+            program.process.toHandle().destroy();
+            program.output();
+            return program.logged().stream().anyMatch(line -> line.contains("going on from what the process before"));
+        } finally {
+            backend.close();
+        }
+    }
+
+    /** Classes and kinds of the same names, another customer's figures: what was learnt under those is not believed. */
+    @Test void whatWasLearntUnderOtherSettingsIsForeign() throws IOException, InterruptedException {
+        assertFalse(goesOn(Program.SETTINGS));
+        assertTrue(goesOn(Program.SETTINGS), "the same settings");
+        assertFalse(goesOn(Program.SETTINGS.replace("\"GiveUpMs\":5000", "\"GiveUpMs\":9000")), "another customer's");
+        assertFalse(goesOn(Program.SETTINGS), "a configuration that has come back");
+    }
+}
