--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -249,6 +249,7 @@
     }
 
     private void round() {
+        after(ROUND, this::round);  // first: an exception below ends no later round
         double used = IntStream.range(0, s.kinds).mapToDouble(k -> ready[k] * (kindSlots[k] - kindFree[k]))
             .sum();
         // Our part of traffic and quotas, by the work that comes; overload says nothing of it.
@@ -267,7 +268,6 @@
         held.sort((a, b) -> value(a) != value(b) ? Double.compare(value(b), value(a))
             : Long.compare(b.latest, a.latest));
         sendHeld();
-        after(ROUND, this::round);
     }
 
     // ---- Placement: two aligned groups of the sorted ids, the lower total, its least-loaded worker
@@ -481,8 +481,8 @@
         if (a.idle > keepAlive) a.idle = 0;
         a.roomy = roomy(w, r);
         w.out.add(a);
-        if (cold(w)) w.coldSends.add(new Push(w.info.id(), now, coldWork(w, r)));
-        if (cold(w)) coldUsed += coldWork(w, r);
+        double cold = cold(w) ? coldWork(w, r) : 0;
+        if (cold(w) && w.coldSends.add(new Push(w.info.id(), now, cold))) coldUsed += cold;
         double work = Math.max(slotRun / 4, expectedRun(r)) * r.job.slots() / 1e6;
         zones.sent(now, r.job, r.attempts.size() - 1, w.info, work);
         act.send(r.job.id(), w.info.id());
@@ -491,7 +491,7 @@
 
     /** Half an aim without a start, or two progress notes missed: a copy goes where it starts at once. */
     private void checkOn(Attempt a) {
-        Request r = a.request;
+        Request r = a.request;  // what has not begun yet is not silent: its copies would run for nobody
         if (a.outcome != null || r.over) return;
         boolean waits = s.tellsStart && r.attempts.stream().allMatch(other -> other.startedAt < 0);
         // Guards against a jam seen where idle connections swallow jobs: there was room, and nothing started.
@@ -502,16 +502,16 @@
         // Guards against queues full of late jobs: they make room, if an even chance of one in time gains.
         boolean gain = r.type.effect() == Effect.REPEATABLE && r.type.lateShare() < 1.0 / 3;
         if (waits && gain && now > r.latest && giveUp(r)) return;
-        boolean silent = s.progressEvery > 0 && now - a.notedAt > 5 * s.progressEvery / 2;
+        boolean silent = a.notedAt > 0 && s.progressEvery > 0 && now - a.notedAt > 5 * s.progressEvery / 2;
         boolean stuck = !s.tellsStart ? now - a.sentAt > 3 * expectedRun(r) : a.startedAt < 0 || silent;
         boolean room = jam() < 1 && outstanding(r) < (asks ? 2 : 3) && r.deadline - now > expectedRun(r);
         if (stuck && room && s.parallelAttempts && mayRepeat(r)) {
             r.draw = random.nextLong();
-            Drawn drawn = place(r, true);
-            // Guards against copies that queue: a cancelled one may still run, and takes a slot for nobody.
-            boolean free = drawn != null && (asks ? roomy(drawn.pick, r) : load(drawn.pick) < load(a.server));
-            if (drawn != null && (silent || free)) {
-                send(r, drawn.pick);
+            Drawn d = place(r, true);
+            boolean less = s.reports == ReportMode.NEVER && d != null && load(d.pick) < load(a.server);
+            // Guards against copies that queue, or run for nobody: answers alone tell too late who is free.
+            if (d != null && (silent || (asks ? roomy(d.pick, r) : less))) {
+                send(r, d.pick);
                 return;
             }
         }
@@ -557,10 +557,10 @@
         return (int) r.attempts.stream().filter(a -> a.outcome == Outcome.UNFIT).count();
     }
 
-    /** Rule 2: whether a further attempt is allowed at all; eligible() decides where it may go. */
+    /** Rule 2: whether a further attempt is allowed, connection and all; eligible() decides where to. */
     private boolean mayRepeat(Request r) {
         long remembered = r.type.effect() == Effect.REPEATABLE ? Long.MAX_VALUE
-            : r.type.effect() == Effect.BY_KEY ? r.type.window() - 2 * s.tick : 0;
+            : r.type.effect() == Effect.BY_KEY ? r.type.window() - 2 * s.tick - s.connectTimeout : 0;
         return r.attempts.size() < s.maxAttempts
             && r.attempts.stream().noneMatch(a -> mayHaveRun(a) && now - a.sentAt >= remembered);
     }
--- a/src/test/java/badgermux/decide/DecisionsTest.java
+++ b/src/test/java/badgermux/decide/DecisionsTest.java
@@ -284,15 +284,27 @@
     }
 
     @Test void theFirstCopyToStartWithdrawsTheOneThatWaits() {
+        rig.settings.reports = Dispatch.ReportMode.NEVER;
         rig.start(fleet(4));
-        known(2, 2, 2, 2);
         long job = rig.request(RENDER);
         rig.advance(50 * MS);
         rig.module.started(rig.did.now, job, 1);
         assertEquals(List.of(job + "/0"), rig.did.cancelled);
     }
 
+    /** A job that had not begun was taken for a silent one: with notes told, every job got a copy after 50 ms. */
+    @Test void aJobThatWaitsWhereAnswersTellOfSlotsGetsNoCopies() {
+        rig.settings.progressEvery = 2 * SECOND;
+        rig.start(fleet(4));
+        known(2, 2, 2, 2);
+        long job = rig.request(RENDER);
+        rig.advance(SECOND);
+        assertEquals(1, rig.sendsOf(job));
+        assertEquals(0, rig.did.cancelled.size());
+    }
+
     @Test void noMoreThanThreeCopiesOfAJobWaitAtOnce() {
+        rig.settings.reports = Dispatch.ReportMode.NEVER;
         lateAnswersEarnMuch();
         rig.start(fleet(40));
         long job = rig.request(RENDER);
--- a/src/test/java/badgermux/decide/RulesTest.java
+++ b/src/test/java/badgermux/decide/RulesTest.java
@@ -74,6 +74,7 @@
     }
 
     @Test void servedJobIsOverAndItsCopyWithdrawn() {
+        rig.settings.reports = Dispatch.ReportMode.NEVER;
         rig.start(fleet(8));
         long job = rig.request(RENDER);
         rig.advance(50 * MS);
@@ -188,6 +189,7 @@
 
     /** Seen as charges sent to other rooms as soon as those of their own were busy or the draw fell there. */
     @Test void everyAttemptStaysWhereItsClassMayRunCopiesToo() {
+        rig.settings.reports = Dispatch.ReportMode.NEVER;
         rig.settings.classes.add(new Dispatch.JobClass("bound", Effect.REPEATABLE, Scope.ALL, 300 * MS, 1.5, 5 * SECOND, 0,
             1, 0.5, null, Set.of(1), false));
         rig.start(fleet(16));
@@ -262,6 +264,7 @@
     }
 
     @Test void windowCountsFromTheFirstAttemptThatMayHaveRun() {
+        rig.settings.reports = Dispatch.ReportMode.NEVER;
         aLateSaveIsWorthSomething();
         rig.start(fleet(16));
         long job = rig.request(SAVE);
@@ -275,6 +278,23 @@
         assertEquals(List.of(job), rig.did.failed);
     }
 
+    /** The attempt may wait for its connection for as long as one may take: by then the window was over. */
+    @Test void aRepeatOfAKeyedJobLeavesTheWindowTimeForItsConnection() {
+        aLateSaveIsWorthSomething();
+        rig.settings.connectTimeout = 300 * MS;
+        rig.settings.parallelAttempts = false;
+        rig.start(fleet(8));
+        long window = rig.settings.classes.get(SAVE).window();
+        long early = rig.request(SAVE), late = rig.request(SAVE);
+        rig.advance(window - 400 * MS);
+        rig.outcome(early, 0, Outcome.RESET);
+        assertEquals(2, rig.sendsOf(early));
+        rig.advance(200 * MS);
+        rig.outcome(late, 0, Outcome.RESET);
+        assertEquals(1, rig.sendsOf(late), "its connection might come up outside the window");
+        assertEquals(List.of(late), rig.did.failed);
+    }
+
     /** Moved to another worker when it did not start, a job ran twice where a cancel stops nothing. */
     @Test void neverTwoAttemptsAtOnceNorAMoveWhereThatIsForbidden() {
         rig.settings.parallelAttempts = false;
@@ -300,6 +320,7 @@
     }
 
     @Test void aRepeatedOutcomeCountsOnce() {
+        rig.settings.reports = Dispatch.ReportMode.NEVER;
         rig.start(fleet(8));
         long job = rig.request(RENDER);
         rig.advance(50 * MS);
