Use no connection again whose answer had no id; test the rare moments on real sockets

An answer other than 200 carries no id, so that one which comes twice on a kept connection ends whatever goes out there next; a second 503 with X-Not-Processed had a request sent again that its runner ran (FetchExchange.ended put the connection back whatever the status was). Such a connection is closed now. An answer of 200 names its request in every line and needs no such rule. Rejected: waiting some milliseconds before a connection is used again, which costs each request and bounds nothing.

--- a/src/main/java/badgermux/backend/FetchExchange.java
+++ b/src/main/java/badgermux/backend/FetchExchange.java
@@ -120,7 +120,13 @@
 
     @Override public void ended() {
         backends.cancel(tail);
-        backends.put(pooled);
+        if (streams) {
+            backends.put(pooled);
+        } else {
+            // Guards against such an answer that comes twice: without an id the second would end whatever goes out here next,
+            // and one that says "not processed" would have a job sent again that runs.
+            pooled.connection.close();
+        }
         if (outcome == null && streams) {
             for (byte[] line : lines.rest()) {
                 try {
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -123,6 +123,49 @@
         return text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
     }
 
+    /** A second connection was still coming up: its attempt was written although the client had its answer. */
+    @Test void whatHasNotBeenWrittenIsTakenBackOnceItsRequestIsOver() {
+        take(this::sendTwo);
+        unsent.add(fetched.get(1));
+        engine.ended(fetched.get(0), Outcome.SERVED, bytes("r"), null);
+        assertEquals(List.of("1 MOOT true", "0 SERVED true"), told);
+        engine.ended(fetched.get(1), Outcome.SERVED, bytes("late"), null);
+        assertEquals(List.of("served r"), answers);
+        take(() -> engine.send(job, 1));
+        unsent.add(fetched.get(2));
+        engine.askerGone(job);
+        assertEquals(List.of("0 MOOT true", "gone"), told.subList(2, 4));
+        assertEquals(0, engine.open());
+    }
+
+    /** The module went on holding a request that had its answer, and sent it later. */
+    @Test void anExceptionEndsItsRequestWithTheModuleToo() {
+        take(() -> {
+            throw new IllegalStateException("seen in a test");
+        });
+        assertEquals(List.of("failed false"), answers);
+        assertEquals(List.of("gone"), told);
+        assertEquals(0, engine.open());
+    }
+
+    /** Its client's connection had an exception: the outcome never reached the module, which waited for it. */
+    @Test void anExceptionAtAnAnswerKeepsNoOutcomeFromTheModule() {
+        Asker breaks = new Asker() {
+            @Override public void served(byte[] result) {
+                throw new IllegalStateException("seen in a test");
+            }
+
+            @Override public void synthetic(long comeBack) { }
+
+            @Override public void failed(boolean late) { }
+        };
+        onRequest = () -> engine.send(job, 1);
+        engine.take(breaks, "payload", 0, 0, 1, now + 10 * SECOND);
+        engine.ended(fetched.get(0), Outcome.SERVED, bytes("r"), null);
+        assertEquals(List.of("0 SERVED true"), told);
+        assertEquals(1, metrics.get(Count.EXCEPTIONS));
+    }
+
     @Test void theFirstResultIsTheAnswerAndTheOthersAreStillTold() {
         take(this::sendTwo);
         engine.started(fetched.get(0));
--- a/src/test/java/badgermux/it/DirectorIT.java
+++ b/src/test/java/badgermux/it/DirectorIT.java
@@ -90,6 +90,27 @@
         servedBy(backend);
     }
 
+    /**
+     * What a silent watch misses counts as told 7 s after its call, and a runner that drains may get nothing 0.75 s later:
+     * the call made anew was answered too late for that, as it came after 6.9 s and a pause.
+     */
+    @Test void aWatchThatFellSilentIsOpenedAnewInTimeForADrainThatItMissed() throws IOException, InterruptedException {
+        Peer other = new Peer();
+        long before = System.nanoTime();
+        Peer.Call silent = program.director.take();
+        Peer.Call again = program.director.take();
+        long millis = (System.nanoTime() - before) / 1_000_000;
+        assertTrue(millis > 5_500 && millis < 6_600, "after the wait and a second: " + millis);
+        assertTrue(silent.isEnded());
+        again.reply("200 OK", list(2, false, member("s-1", backend, "east", "DRAINING") + ','
+            + member("s-2", other, "east", "SERVING")));
+        program.director.take();
+        servedBy(other);
+        assertEquals(0, program.count("director_failures"));
+        assertEquals(1, program.count("director_silences"));
+        other.close();
+    }
+
     @Test void anAddressThatANewRunnerTakesOverIsItsOwn() throws IOException, InterruptedException {
         Peer other = new Peer();
         servedBy(backend);
--- /dev/null
+++ b/src/test/java/badgermux/it/Parts.java
@@ -0,0 +1,179 @@
+package badgermux.it;
+
+import badgermux.backend.Backends;
+import badgermux.core.Asker;
+import badgermux.core.Clock;
+import badgermux.core.Deadlines;
+import badgermux.core.Engine;
+import badgermux.decide.Dispatch;
+import badgermux.front.Front;
+import badgermux.http.Relay;
+import badgermux.metrics.Metrics;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The parts around the module in this process, on real sockets and an event loop that a test can hold: what peers do
+ * meanwhile lies in the system's buffers, so that each order of events can be had every time.
+ */
+final class Parts implements Closeable {
+    /** What is done on the event loop, while it does nothing else. */
+    interface Held {
+        void run() throws Exception;
+    }
+
+    final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final Clock clock = new Clock();
+    final Metrics metrics = new Metrics(List.of("preview"));
+    final Deadlines deadlines = new Deadlines(clock::now, this::alarm, metrics);
+    final Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, 3);
+    final Backends backends;
+    final Front front;
+    /** What the module was told, in order. */
+    final List<String> told = new ArrayList<>();
+    private final BlockingQueue<Long> jobs = new LinkedBlockingQueue<>();
+    private final int port;
+    private Dispatch.Job last;
+    /** Where the module sends each job at once; 0 where it holds them. */
+    long sendsTo;
+
+    Parts() throws Exception {
+        Dispatch.Settings settings = new Dispatch.Settings();
+        settings.classes.add(new Dispatch.JobClass("preview", Dispatch.Effect.REPEATABLE, Dispatch.Scope.ALL, 4_000_000, 1,
+            5_000_000, 0, 1, 0, -1, false));
+        backends = new Backends(loop, deadlines, clock::now, metrics, engine, 3_000_000, 15_000_000, 100, false);
+        front = new Front(clock::now, deadlines, metrics, engine, settings, () -> true, 20, 8, 1 << 24, null);
+        engine.join(new Module(), backends, () -> told.add("watch"));
+        port = ((InetSocketAddress) front.listen(loop, new InetSocketAddress("127.0.0.1", 0)).sync().channel().localAddress())
+            .getPort();
+    }
+
+    private void alarm(long at) {
+        loop.schedule(deadlines::runDue, Math.max(0, at - clock.now()), TimeUnit.MICROSECONDS);
+    }
+
+    Client client() throws IOException {
+        return new Client(port);
+    }
+
+    /** The next job that the module was told of. */
+    long job() throws InterruptedException {
+        Long job = jobs.poll(Peer.PATIENCE_S, TimeUnit.SECONDS);
+        if (job == null) {
+            throw new AssertionError("no job came");
+        }
+        return job;
+    }
+
+    /** Whether one is there already that nobody has taken. */
+    boolean hasJob() {
+        return !jobs.isEmpty();
+    }
+
+    /** Takes a job in that no client brought; called on the event loop. */
+    long take() {
+        Asker nobody = new Asker() {
+            @Override public void served(byte[] result) { }
+
+            @Override public void synthetic(long comeBack) { }
+
+            @Override public void failed(boolean late) { }
+        };
+        String head = "POST /preview HTTP/1.1";
+        return engine.take(nobody, new Relay(Client.id(), head, "", new byte[0], null), 0, 0, 1, clock.now() + 5_000_000);
+    }
+
+    /** How many connections to runners there are. */
+    long open() throws Exception {
+        return level("backend_connections_open");
+    }
+
+    /** How many connections of clients there are. */
+    long connections() throws Exception {
+        return level("client_connections_open");
+    }
+
+    private long level(String name) throws Exception {
+        long[] level = new long[1];
+        held(() -> level[0] = metrics.text().lines().filter(line -> line.startsWith("badgermux_" + name + ' '))
+            .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1))).findFirst().orElseThrow());
+        return level[0];
+    }
+
+    boolean toldOf(String what) throws Exception {
+        boolean[] is = new boolean[1];
+        held(() -> is[0] = told.contains(what));
+        return is[0];
+    }
+
+    /** Does it on the event loop, and waits until it is done. */
+    void held(Held what) throws Exception {
+        loop.submit(() -> {
+            what.run();
+            return null;
+        }).get();
+    }
+
+    @Override public void close() {
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Does what the test says. */
+    private final class Module implements Dispatch {
+        @Override public Heritage leave() {
+            return new Heritage(new double[0], List.of());
+        }
+
+        @Override public void inherit(Heritage left) { }
+
+        @Override public void ending(long time) {
+            told.add("ending");
+        }
+
+        @Override public boolean avoids(long worker) {
+            return false;
+        }
+
+        @Override public void workers(long time, ListUpdate update, List<Worker> workers) {
+            told.add(update + " " + workers.size());
+        }
+
+        @Override public void request(long time, Job job) {
+            last = job;
+            if (sendsTo != 0) {
+                engine.send(job.id(), sendsTo);
+            }
+            jobs.add(job.id());
+        }
+
+        @Override public void started(long time, long id, int attempt) { }
+
+        @Override public void progress(long time, long id, int attempt) { }
+
+        @Override public void streaming(long time, long id, int attempt) { }
+
+        @Override public void outcome(long time, long id, int attempt, long worker, Outcome outcome, boolean settled,
+                Report report) {
+            told.add(outcome + (settled ? " settled" : ""));
+            if (!settled && outcome == Outcome.MOOT) {
+                engine.send(last.id(), sendsTo);
+            }
+        }
+
+        @Override public void probed(long time, long worker, boolean answered, Report report) { }
+
+        @Override public void clientGone(long time, long id) {
+            told.add("gone");
+        }
+
+        @Override public void timer(long time, int token) { }
+    }
+}
--- /dev/null
+++ b/src/test/java/badgermux/it/RareEndsIT.java
@@ -0,0 +1,177 @@
+package badgermux.it;
+
+import static badgermux.it.Program.member;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The real program at its end, with clients that leave, runners that answer twice, and a log that nobody reads. */
+@Timeout(60)
+class RareEndsIT {
+    @TempDir private Path folder;
+    private Peer backend;
+
+    @BeforeEach void start() throws IOException {
+        backend = new Peer();
+    }
+
+    @AfterEach void stop() throws IOException {
+        backend.close();
+    }
+
+    private Program program(String settings) throws IOException {
+        return new Program(folder, member("s-1", backend, "east", "SERVING"), 1024, settings);
+    }
+
+    private static long millisSince(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+
+    /** Where all deadlines are 2 s SIGKILL may come after 2.7 s: at 3.3 s it had come. */
+    @Test void theLastAnswerComesTheSoonerTheShorterAllDeadlinesAre() throws IOException, InterruptedException {
+        String settings = Program.SETTINGS.replace("5000", "2000").replace("4000", "1500");
+        try (Program program = program(settings); Client fresh = program.client(); Client open = program.client()) {
+            open.send(Client.req("/preview", "2000m", "", ""));
+            backend.take().accept();
+            long term = System.nanoTime();
+            program.process.toHandle().destroy();
+            Await.until("a time shortly before the changeover is over", () -> millisSince(term) >= 400);
+            fresh.send(Client.req("/preview", "2000m", "", ""));
+            backend.take().accept();
+            assertEquals(503, open.read().status());
+            assertEquals(503, fresh.read().status(), "asking again is harmless");
+            long answered = millisSince(term);
+            assertTrue(answered > 2_150 && answered < 2_390, "before its own time, and 0.3 s before the kill: " + answered);
+        }
+    }
+
+    /** While a client that was answered last has not closed, others still get in; nothing of theirs may be begun. */
+    @Test void whatComesBehindTheLastAnswerIsRefusedAndNotSentOn() throws IOException, InterruptedException {
+        try (Program program = program(Program.SETTINGS)) {
+            try (Client open = program.client()) {
+                open.send(Client.req("/preview", "5000m", "", ""));
+                backend.take().accept();
+                program.process.toHandle().destroy();
+                assertEquals(503, open.read().status());
+                try (Client late = program.client()) {
+                    assertEquals(503, late.send(Client.req("/preview", "5000m", "", "")).read().status());
+                }
+            }
+            assertTrue(program.output().contains("badgermux_reqs_taken 1\n"));
+            assertNull(backend.peek());
+        }
+    }
+
+    /** Half a request at the end of the changeover is told so: a bare close would lose what crosses it. */
+    @Test void halfARequestIsRefusedWhenThereIsNoTimeForItAnyMore() throws IOException, InterruptedException {
+        try (Program program = program(Program.SETTINGS); Client half = program.client()) {
+            half.send("POST /preview HTTP/1.1\r\nHost: x\r\n");
+            Await.until("its beginning has been read", () -> program.count("client_connections") >= 2);
+            program.process.toHandle().destroy();
+            half.send("A: b\r\n");
+            assertEquals(503, half.read().status());
+            assertTrue(half.isEnded());
+            assertTrue(program.output().contains("badgermux_reqs_taken 0\n"));
+        }
+    }
+
+    /** Reading was off behind 16 KiB that were sent ahead: the leave that lay behind them went unseen. */
+    @Test void whoSendsMuchAheadAndLeavesIsSeenToLeave() throws IOException, InterruptedException {
+        try (Program program = program(Program.SETTINGS)) {
+            Peer.Call call;
+            long before = System.nanoTime();
+            try (Client client = program.client()) {
+                client.send(Client.req("/preview", "5000m", "", ""));
+                call = backend.take().accept();
+                for (int i = 0; i < 4; i++) {
+                    client.send(Client.req("/preview", "5000m", "", "x".repeat(60_000)));
+                }
+            }
+            assertTrue(call.isEnded(), "its attempt is given up");
+            assertTrue(millisSince(before) < 3_000, "at once, and not when its time is over");
+            Await.until("its leave", () -> program.count("clients_gone") == 1);
+            assertEquals(0, program.count("bad_messages"));
+        }
+    }
+
+    /** A second "not processed" had the next request on that connection sent again while its runner ran it. */
+    @Test void anAnswerWithoutAnIdThatComesTwiceEndsNothingElse() throws IOException, InterruptedException {
+        try (Program program = program(Program.SETTINGS); Client client = program.client()) {
+            client.send(Client.req("/pay", "5000m", "", ""));
+            Peer.Call first = backend.take();
+            first.reply("503 Busy\r\nX-Not-Processed: 1", "");
+            Peer.Call second = backend.take();
+            try {
+                first.reply("503 Busy\r\nX-Not-Processed: 1", "");
+            } catch (IOException e) {
+                assertTrue(first.isEnded(), "its connection is not used again");
+            }
+            assertTrue(first.isEnded(), "its connection is not used again");
+            second.done("ran once");
+            assertEquals("ran once", client.read().body());
+            assertNull(backend.peek());
+        }
+    }
+
+    /** The event loop wrote the log: with its pipe full it stood still, and with it all clients. */
+    @Test void aLogThatNobodyReadsHoldsNothingUp() throws IOException, InterruptedException {
+        String many = IntStream.range(0, 1_500).mapToObj(i -> member("runner-of-a-long-name-" + i, backend, "west", "SERVING"))
+            .collect(Collectors.joining(","));
+        try (Program program = program(Program.SETTINGS); Client client = program.client()) {
+            program.director.take().reply("200 OK", "{\"revision\":2,\"complete\":true,\"members\":[" + many + "]}");
+            program.director.take();
+            for (int i = 0; i < 3; i++) {
+                // Not many at once: between two of them the lines of the list come due.
+                Await.until("half a second", pause());
+                client.send(Client.req("/preview", "5000m", "", ""));
+                backend.take().done("r");
+                assertEquals(200, client.read().status());
+            }
+            program.process.toHandle().destroy();
+            assertTrue(program.process.waitFor(Peer.PATIENCE_S, TimeUnit.SECONDS), "it ends all the same");
+            assertEquals(143, program.process.exitValue());
+        }
+    }
+
+    private static Await.Condition pause() {
+        long before = System.nanoTime();
+        return () -> millisSince(before) >= 400;
+    }
+
+    /** A fifo stands where the configuration is to be read: SIGTERM comes before anything was begun. */
+    @Test void oneThatIsEndedBeforeItHasBegunEndsAtOnce() throws IOException, InterruptedException {
+        Path fifo = folder.resolve("config.json");
+        assertEquals(0, new ProcessBuilder("mkfifo", fifo.toString()).start().waitFor());
+        try (Program program = new Program(fifo)) {
+            program.process.toHandle().destroy();
+            assertTrue(program.process.waitFor(Peer.PATIENCE_S, TimeUnit.SECONDS));
+        }
+        Files.delete(fifo);
+    }
+
+    @Test void aSecondSigtermChangesNothing() throws IOException, InterruptedException {
+        try (Program program = program(Program.SETTINGS); Client client = program.client()) {
+            client.send(Client.req("/preview", "5000m", "", ""));
+            Peer.Call call = backend.take().accept();
+            for (int i = 0; i < 3; i++) {
+                new ProcessBuilder("kill", "-TERM", String.valueOf(program.process.pid())).start().waitFor();
+            }
+            call.line("done", ",\"result\":\"r\"").end();
+            assertEquals("r", client.read().body());
+            assertTrue(program.output().contains("badgermux_reqs_taken 1\n"));
+            assertEquals(143, program.process.waitFor());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/badgermux/it/RareMomentsIT.java
@@ -0,0 +1,154 @@
+package badgermux.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import badgermux.decide.Dispatch.ListUpdate;
+import badgermux.director.Director;
+import badgermux.director.ListDecoder;
+import badgermux.metrics.Metrics.Count;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Requests, answers, closes and news in the one order that is wrong, every time: the event loop is held meanwhile. */
+@Timeout(60)
+class RareMomentsIT {
+    private Parts parts;
+    private Peer backend;
+    private Client client;
+
+    @BeforeEach void start() throws Exception {
+        parts = new Parts();
+        backend = new Peer();
+        client = parts.client();
+        parts.held(() -> parts.backends.locate(1, at(backend)));
+    }
+
+    @AfterEach void stop() throws IOException {
+        client.close();
+        backend.close();
+        parts.close();
+    }
+
+    private static InetSocketAddress at(Peer peer) {
+        return new InetSocketAddress("127.0.0.1", peer.port());
+    }
+
+    /** A close over bytes that nobody has read is a reset, which takes the answer before it along. */
+    @Test void anAnswerThatEndsItsConnectionIsReadWhateverWasSentInThatMoment() throws Exception {
+        client.send(Client.req("/preview", "5000m", "Connection: close\r\n", ""));
+        long job = parts.job();
+        parts.held(() -> {
+            client.send("x".repeat(10_000));
+            parts.engine.refuse(job, 0);
+        });
+        assertEquals(503, client.read().status());
+        assertTrue(client.isEnded(), "ended in order, not reset");
+    }
+
+    /** A client that rests sends just as its connection is closed: it sees the end, and sends once more elsewhere. */
+    @Test void aRequestThatCrossesTheCloseOfARestingConnectionIsNeitherServedNorReset() throws Exception {
+        client.send(Client.req("/preview", "5000m", "", ""));
+        long job = parts.job();
+        parts.held(() -> parts.engine.refuse(job, 0));
+        assertEquals(503, client.read().status());
+        parts.held(() -> {
+            client.send(Client.req("/preview", "5000m", "", ""));
+            parts.front.handOver();
+        });
+        assertTrue(client.isEnded(), "ended in order, not reset");
+        assertFalse(parts.hasJob(), "what is read after the shutdown is no request of ours");
+        assertEquals(1, parts.metrics.get(Count.REQS_TAKEN));
+    }
+
+    /** A connection to a runner comes up late; its client has left by then, and nothing may be cancelled there. */
+    @Test void whatNobodyWaitsForIsNotWrittenOnceItsConnectionIsUp() throws Exception {
+        parts.sendsTo = 1;
+        parts.held(() -> parts.engine.askerGone(parts.take()));
+        Await.until("the connection's end", () -> parts.open() == 0);
+        assertEquals(List.of("MOOT settled"), parts.told.subList(0, 1));
+        assertEquals(0, parts.metrics.get(Count.FETCHES_WRITTEN));
+        assertNull(backend.peek());
+    }
+
+    /** The runner drains, is gone or has moved while the connection to it comes up: 0.75 s later it may get nothing new. */
+    @Test void whatHasNotBeenWrittenGoesElsewhereWhenItsRunnerDrains() throws Exception {
+        Peer other = new Peer();
+        parts.sendsTo = 1;
+        parts.held(() -> {
+            parts.backends.locate(2, at(other));
+            parts.take();
+            parts.sendsTo = 2;
+            parts.backends.takeBack(1);
+        });
+        assertEquals("POST /preview HTTP/1.1", other.take().head.lines().findFirst().orElseThrow());
+        parts.sendsTo = 2;
+        parts.held(() -> {
+            parts.take();
+            parts.sendsTo = 3;
+            parts.backends.locate(3, at(other));
+            parts.backends.forget(2);
+        });
+        other.take();
+        parts.held(() -> {
+            parts.sendsTo = 1;
+            parts.take();
+            parts.backends.locate(1, at(other));
+        });
+        other.take();
+        assertNull(backend.peek(), "nothing was written to who had drained, gone or moved");
+        other.close();
+    }
+
+    /** An exception in a list left no call and told no failure: nobody watched again. */
+    @Test void aListThatCantBeUsedIsAskedForAgain() throws Exception {
+        Peer agent = new Peer();
+        AtomicInteger lists = new AtomicInteger();
+        Director director = new Director(parts.loop, parts.deadlines, parts.clock, parts.metrics, parts.engine, parts.backends,
+            at(agent), ListDecoder.decode("{\"revision\":4}"), List.of("east"), List.of("k"), (now, update, list, before) -> {
+                if (update != ListUpdate.CACHED && lists.getAndIncrement() == 0) {
+                    throw new IllegalStateException("seen in a test");
+                }
+                return list;
+            }, null, true);
+        parts.held(director::start);
+        agent.take().reply("200 OK", "{\"revision\":5,\"complete\":false,\"members\":["
+            + Program.member("s-1", backend, "east", "SERVING") + "]}");
+        agent.take().reply("503 Busy", "");
+        Peer.Call again = agent.take();
+        assertTrue(again.head.startsWith("GET /v1/servers?since=0&"), "what was not told comes again: " + again.head);
+        again.reply("200 OK", "{\"revision\":5,\"complete\":true,\"members\":["
+            + Program.member("s-1", backend, "east", "SERVING") + "]}");
+        Await.until("the list", () -> parts.toldOf("FULL 1"));
+        assertTrue(parts.toldOf("FAILED 0"));
+        assertEquals(1, parts.metrics.get(Count.EXCEPTIONS));
+        agent.close();
+    }
+
+    /** What a client sends ahead stays within a bound, and who goes beyond is told so. */
+    @Test void whoSendsTooMuchAheadIsToldSo() throws Exception {
+        client.send(Client.req("/preview", "5000m", "", ""));
+        parts.job();
+        Thread flood = new Thread(() -> {
+            try {
+                client.send(Client.req("/preview", "5000m", "", "") + "x".repeat(3 << 20));
+            } catch (IOException e) {
+                // it is cut off in the end
+            }
+        });
+        flood.start();
+        assertEquals(413, client.read().status());
+        flood.join(TimeUnit.SECONDS.toMillis(Peer.PATIENCE_S));
+        assertTrue(parts.toldOf("gone"), "the request before it has ended with it");
+        Await.until("its end", () -> parts.connections() == 0);
+    }
+}
