End what brought no result on its connection first; heed drains of a director begun anew

What was turned away went out again meanwhile, so that a class with no second attempt had two on open connections where that end never comes. Any outcome but a result closes the connection first. - A probe's answer has no id either: one that is not 200 and comes twice ended the request that went out there next. - Director.older believed nothing of a list with an older revision for ten seconds. One that has begun anew counts from the start, and what it writes counts as told: who drains or has left there gets nothing new now, and the whole is asked for. Nobody is brought back by it and nobody missing from it is dropped before those ten seconds, as before. - Learnt.end let the exit wait for its file: a folder that hangs held it back until the kill. 0.2 s at most now, and what waits to be written does not grow. AdminServer names TCP_NODELAY like the others. The test of an unread log sends all the time in place of pauses.

Rejected: to drop an older list's missing runners at once, as an empty list of a director that starts would end all service.

--- a/src/main/java/badgermux/Learnt.java
+++ b/src/main/java/badgermux/Learnt.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 
 /**
@@ -19,11 +20,14 @@
 final class Learnt {
     /** How often it is kept, in microseconds: a kill loses so much of what was learnt. */
     private static final long EVERY = 2_000_000;
+    /** How long the end waits for it at most, in microseconds: a write takes a millisecond or two. */
+    private static final long LAST = 200_000;
 
     private final LearntFile file;
     private final Heritage before;
     /** The event loop waits for no disk. */
     private final ExecutorService writer;
+    private final AtomicBoolean writing = new AtomicBoolean();
     private Engine<?> engine;
     private boolean failed;
 
@@ -52,12 +56,16 @@
     }
 
     private void again(Deadlines deadlines) {
-        keep(false);
+        // Guards against a folder that hangs: what waits to be written does not grow.
+        if (!writing.get()) {
+            keep(false);
+        }
         deadlines.after(EVERY, () -> again(deadlines));
     }
 
     private void keep(boolean ended) {
         Heritage left = engine.leave();
+        writing.set(true);
         writer.execute(() -> {
             try {
                 file.write(left, ended, System.currentTimeMillis());
@@ -66,17 +74,23 @@
                     Logger.warn("what was learnt is not kept beyond this process: {}", e.toString());
                 }
                 failed = true;
+            } finally {
+                writing.set(false);
             }
         });
     }
 
-    /** Keeps it for the last time, and runs {@code then} when it is kept; called on the event loop. */
-    void end(Runnable then) {
+    /**
+     * Keeps it for the last time, and runs {@code then} when it is kept, or after {@link #LAST} where the folder hangs:
+     * all is answered by now, and the process is expected to end. Called on the event loop; {@code then} may run twice.
+     */
+    void end(Deadlines deadlines, Runnable then) {
         if (file == null || engine == null) {
             then.run();
             return;
         }
         keep(true);
         writer.execute(then);
+        deadlines.after(LAST, then);
     }
 }
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -252,6 +252,6 @@
             onCall.close();
         }
         printed = metrics.text();
-        learnt.end(quiet::countDown);
+        learnt.end(deadlines, quiet::countDown);
     }
 }
--- a/src/main/java/badgermux/admin/AdminServer.java
+++ b/src/main/java/badgermux/admin/AdminServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -72,6 +73,7 @@
 
     public ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     if (connections >= MAX_CONNECTIONS) {
--- a/src/main/java/badgermux/backend/Backends.java
+++ b/src/main/java/badgermux/backend/Backends.java
@@ -144,7 +144,12 @@
         Deadlines.Deadline limit = deadlines.after(PROBE_LIMIT, pooled.connection::close);
         pooled.connection.start(new ProbeExchange(probeTarget, backend.host(), (answered, report) -> {
             deadlines.cancel(limit);
-            put(pooled);
+            if (answered) {
+                put(pooled);
+            } else {
+                // Guards against such an answer that comes twice: the second would end the request that goes out here next.
+                pooled.connection.close();
+            }
             engine.probed(id, answered, report);
         }));
     }
--- a/src/main/java/badgermux/backend/FetchExchange.java
+++ b/src/main/java/badgermux/backend/FetchExchange.java
@@ -110,11 +110,16 @@
         }
     }
 
-    /** The client need not wait for the response's end, only for the line that tells the result. */
+    /**
+     * The client need not wait for the response's end, only for the line that tells the result. What brought no result may
+     * go out again at once: guards against two attempts on open connections where that response never ends.
+     */
     @Override public void progressed() {
-        if (outcome != null && !told) {
+        if (outcome == Outcome.SERVED && !told) {
             tail = backends.limitTail(pooled);
             tell(outcome);
+        } else if (outcome != null && !told) {
+            pooled.connection.close();
         }
     }
 
--- a/src/main/java/badgermux/director/Director.java
+++ b/src/main/java/badgermux/director/Director.java
@@ -122,7 +122,7 @@
     public void start() {
         revision = known.revision;
         listed = !known.members.isEmpty();
-        tell(ListUpdate.CACHED, entries(known));
+        tell(ListUpdate.CACHED, entries(known.members));
         if (pushed) {
             watch();
         }
@@ -219,7 +219,7 @@
 
     private void takeList(ListDecoder.Listing listing) {
         if (listing.revision < revision && !moved) {
-            older(listing.revision);
+            older(listing);
             return;
         }
         behindSince = 0;
@@ -234,16 +234,25 @@
         listed |= listing.complete || !listing.members.isEmpty();
         // The next call goes out first: a watch goes on only if it follows at once.
         watch();
-        tell(listing.complete ? ListUpdate.FULL : ListUpdate.DELTA, entries(listing));
+        tell(listing.complete ? ListUpdate.FULL : ListUpdate.DELTA, entries(listing.members));
     }
 
-    /** Guards against a director that lags: its older list would bring back who has left. */
-    private void older(long its) {
+    /**
+     * Guards against a director that lags: its older list would bring back who has left. One that has begun anew counts its
+     * revisions from the start, too, and what it writes is told: who drains or has left there gets nothing new from here
+     * on, and the whole list, which tells which of the two it is, is asked for next.
+     */
+    private void older(ListDecoder.Listing listing) {
+        List<Dispatch.Worker> leaving = entries(listing.members.stream()
+            .filter(member -> member != null && numbers.containsKey(member.id) && !"SERVING".equals(member.phase)).toList());
         behindSince = behindSince == 0 ? clock.now() : behindSince;
-        if (clock.now() - behindSince > BEHIND) {
+        if (clock.now() - behindSince > BEHIND || !leaving.isEmpty()) {
             revision = 0;
         }
-        failed("its revision " + its + " is older than the one in hand");
+        if (!leaving.isEmpty()) {
+            tell(ListUpdate.DELTA, leaving);
+        }
+        failed("its revision " + listing.revision + " is older than the one in hand");
     }
 
     /** The module hears of the news first; then who has left is forgotten here, so that the tables do not grow. */
@@ -318,9 +327,9 @@
         }
     }
 
-    private List<Dispatch.Worker> entries(ListDecoder.Listing listing) {
+    private List<Dispatch.Worker> entries(List<ListDecoder.Member> members) {
         List<Dispatch.Worker> workers = new ArrayList<>();
-        for (ListDecoder.Member member : listing.members) {
+        for (ListDecoder.Member member : members) {
             Dispatch.Worker worker = member == null || member.id == null ? null : worker(member);
             if (worker != null) {
                 workers.add(worker);
--- a/src/test/java/badgermux/it/DirectorIT.java
+++ b/src/test/java/badgermux/it/DirectorIT.java
@@ -111,6 +111,24 @@
         other.close();
     }
 
+    /** For ten seconds nothing was believed of a director that counts its revisions from the start again, drains included. */
+    @Test void whoDrainsInAnOlderListGetsNothingNewAndTheWholeIsAskedFor() throws IOException, InterruptedException {
+        Peer other = new Peer();
+        program.director.take().reply("200 OK", list(40, false, member("s-2", other, "east", "SERVING")));
+        program.director.take().reply("200 OK", list(3, false, member("s-1", backend, "east", "DRAINING") + ','
+            + member("s-9", backend, "east", "SERVING")));
+        Peer.Call whole = program.director.take();
+        assertTrue(whole.head.startsWith("GET /v1/servers?since=0&"), whole.head);
+        for (int i = 0; i < 5; i++) {
+            servedBy(other);
+        }
+        assertNull(backend.peek(), "it drains, and who stands in an older list only is not brought back");
+        whole.reply("200 OK", list(4, true, member("s-1", backend, "east", "SERVING")));
+        assertTrue(program.director.take().head.startsWith("GET /v1/servers?since=4&"));
+        servedBy(backend);
+        other.close();
+    }
+
     @Test void anAddressThatANewRunnerTakesOverIsItsOwn() throws IOException, InterruptedException {
         Peer other = new Peer();
         servedBy(backend);
--- a/src/test/java/badgermux/it/LearntIT.java
+++ b/src/test/java/badgermux/it/LearntIT.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -78,6 +79,22 @@
         servesToAnOrderlyEnd("what was learnt is not kept beyond this process");
     }
 
+    /** A pipe that nobody reads stands where it is written: the end waited for it until it was killed. */
+    @Test void aFolderThatHangsHoldsNoEndBack() throws IOException, InterruptedException {
+        Files.createDirectories(folder.resolve("badgermux-n"));
+        Path fifo = folder.resolve("badgermux-n").resolve("learnt.new");
+        assertEquals(0, new ProcessBuilder("mkfifo", fifo.toString()).start().waitFor());
+        Peer backend = new Peer();
+        try (Program program = start(backend, false)) {
+            serve(program, backend);
+            program.process.toHandle().destroy();
+            assertTrue(program.process.waitFor(Peer.PATIENCE_S, TimeUnit.SECONDS), "it ends by itself");
+            assertTrue(program.output().contains("badgermux_answers_served 1"));
+        }
+        Files.delete(fifo);
+        backend.close();
+    }
+
     private void servesToAnOrderlyEnd(String said) throws IOException, InterruptedException {
         Peer backend = new Peer();
         try (Program program = start(backend, false)) {
--- a/src/test/java/badgermux/it/Parts.java
+++ b/src/test/java/badgermux/it/Parts.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * The parts around the module in this process, on real sockets and an event loop that a test can hold: what peers do
@@ -44,6 +45,8 @@
     private Dispatch.Job last;
     /** Where the module sends each job at once; 0 where it holds them. */
     long sendsTo;
+    /** Where it sends a job again that may go again; null where it does not. Called as soon as it is told. */
+    Supplier<Long> again;
 
     Parts() throws Exception {
         Dispatch.Settings settings = new Dispatch.Settings();
@@ -88,7 +91,9 @@
             @Override public void failed(boolean late) { }
         };
         String head = "POST /preview HTTP/1.1";
-        return engine.take(nobody, new Relay(Client.id(), head, "", new byte[0], null), 0, 0, 1, clock.now() + 5_000_000);
+        String id = Client.id();
+        return engine.take(nobody, new Relay(id, head, "X-Request-ID: " + id + "\r\n", new byte[0], null), 0, 0, 1,
+            clock.now() + 5_000_000);
     }
 
     /** How many connections to runners there are. */
@@ -96,6 +101,11 @@
         return level("backend_connections_open");
     }
 
+    /** The same, told on the event loop. */
+    long openNow() {
+        return figure("backend_connections_open");
+    }
+
     /** How many connections of clients there are. */
     long connections() throws Exception {
         return level("client_connections_open");
@@ -103,11 +113,15 @@
 
     private long level(String name) throws Exception {
         long[] level = new long[1];
-        held(() -> level[0] = metrics.text().lines().filter(line -> line.startsWith("badgermux_" + name + ' '))
-            .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1))).findFirst().orElseThrow());
+        held(() -> level[0] = figure(name));
         return level[0];
     }
 
+    private long figure(String name) {
+        return metrics.text().lines().filter(line -> line.startsWith("badgermux_" + name + ' '))
+            .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1))).findFirst().orElseThrow();
+    }
+
     boolean toldOf(String what) throws Exception {
         boolean[] is = new boolean[1];
         held(() -> is[0] = told.contains(what));
@@ -165,6 +179,8 @@
             told.add(outcome + (settled ? " settled" : ""));
             if (!settled && outcome == Outcome.MOOT) {
                 engine.send(last.id(), sendsTo);
+            } else if (!settled && outcome == Outcome.REJECTED && again != null) {
+                engine.send(last.id(), again.get());
             }
         }
 
--- a/src/test/java/badgermux/it/RareEndsIT.java
+++ b/src/test/java/badgermux/it/RareEndsIT.java
@@ -132,9 +132,9 @@
         try (Program program = program(Program.SETTINGS); Client client = program.client()) {
             program.director.take().reply("200 OK", "{\"revision\":2,\"complete\":true,\"members\":[" + many + "]}");
             program.director.take();
-            for (int i = 0; i < 3; i++) {
-                // Not many at once: between two of them the lines of the list come due.
-                Await.until("half a second", pause());
+            // The lines of a list come due half a second behind it: requests go on coming before, at and after that time.
+            long listed = System.nanoTime();
+            while (millisSince(listed) < 1_500) {
                 client.send(Client.req("/preview", "5000m", "", ""));
                 backend.take().done("r");
                 assertEquals(200, client.read().status());
@@ -145,11 +145,6 @@
         }
     }
 
-    private static Await.Condition pause() {
-        long before = System.nanoTime();
-        return () -> millisSince(before) >= 400;
-    }
-
     /** A fifo stands where the configuration is to be read: SIGTERM comes before anything was begun. */
     @Test void oneThatIsEndedBeforeItHasBegunEndsAtOnce() throws IOException, InterruptedException {
         Path fifo = folder.resolve("config.json");
--- a/src/test/java/badgermux/it/RareMomentsIT.java
+++ b/src/test/java/badgermux/it/RareMomentsIT.java
@@ -11,6 +11,7 @@
 import badgermux.metrics.Metrics.Count;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -109,6 +110,38 @@
         other.close();
     }
 
+    /** The response's end never comes: the next attempt went out while the one before it stood on an open connection. */
+    @Test void whatWasTurnedAwayIsOverOnItsConnectionBeforeItGoesOutAgain() throws Exception {
+        Peer other = new Peer();
+        List<Long> open = new ArrayList<>();
+        parts.sendsTo = 1;
+        parts.again = () -> {
+            open.add(parts.openNow());
+            return 2L;
+        };
+        parts.held(() -> parts.backends.locate(2, at(other)));
+        parts.held(parts::take);
+        backend.take().send("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 9\r\n\r\nnot");
+        other.take().done("r");
+        parts.held(parts::take);
+        backend.take().accept().line("returned", "");
+        other.take().done("r");
+        parts.held(() -> assertEquals(List.of(0L, 1L), open, "only the idle one to the other runner"));
+        other.close();
+    }
+
+    /** The second answer to a probe, which has no id, ended the request that went out on that connection next. */
+    @Test void aProbeThatIsNotAnsweredWellLeavesNoConnectionToUse() throws Exception {
+        parts.held(() -> parts.backends.probe(1));
+        Peer.Call probe = backend.take();
+        probe.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(probe.isEnded());
+        parts.sendsTo = 1;
+        parts.held(parts::take);
+        backend.take().done("r");
+        Await.until("its result", () -> parts.toldOf("SERVED settled"));
+    }
+
     /** An exception in a list left no call and told no failure: nobody watched again. */
     @Test void aListThatCantBeUsedIsAskedForAgain() throws Exception {
         Peer agent = new Peer();
