Tell in the tests of closes that a connection is heard out

Tried: with FrontConnection.answer's mend taken out anAnswerThatEndsItsConnectionIsRead... passed. The JDK shuts the output of a registered channel before it closes, so that the client sees the end first and the reset behind it in neither read. Both tests now look from the event loop whether the connection is still heard out, and that it goes with its client.

--- a/src/test/java/badgermux/it/RareMomentsIT.java
+++ b/src/test/java/badgermux/it/RareMomentsIT.java
@@ -52,8 +52,11 @@
             client.send("x".repeat(10_000));
             parts.engine.refuse(job, 0);
         });
+        assertEquals(1, parts.connections(), "it is heard out, not closed over what lies unread");
         assertEquals(503, client.read().status());
         assertTrue(client.isEnded(), "ended in order, not reset");
+        client.close();
+        Await.until("its end, once its client has left", () -> parts.connections() == 0);
     }
 
     /** A client that rests sends just as its connection is closed: it sees the end, and sends once more elsewhere. */
@@ -66,6 +69,7 @@
             client.send(Client.req("/preview", "5000m", "", ""));
             parts.front.handOver();
         });
+        assertEquals(1, parts.connections(), "it is heard out, not closed over what lies unread");
         assertTrue(client.isEnded(), "ended in order, not reset");
         assertFalse(parts.hasJob(), "what is read after the shutdown is no request of ours");
         assertEquals(1, parts.metrics.get(Count.REQS_TAKEN));
