--- a/src/bench/java/badgermux/bench/JudgeBench.java
+++ b/src/bench/java/badgermux/bench/JudgeBench.java
@@ -23,7 +23,7 @@
 import org.openjdk.jmh.annotations.Warmup;
 import tools.jackson.databind.json.JsonMapper;
 
-/** A judged req beside the bare validator library on the same schema and body: both read the bytes and validate. */
+/** A judged request beside the bare validator library on the same schema and body: both read the bytes and validate. */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
--- a/src/bench/java/badgermux/it/Rehearsal.java
+++ b/src/bench/java/badgermux/it/Rehearsal.java
@@ -10,7 +10,7 @@
 import java.util.stream.Collectors;
 
 /**
- * Has the jar serve some reqs and writes which classes that took, for the archive of classes. A list that is not made anew
+ * Has the jar serve some requests and writes which classes that took, for the archive of classes. A list that is not made anew
  * goes stale with each lambda that comes or goes. Classes of the old list that this play does not meet, such as those of
  * an upgrade, stay in it. Argument: the list.
  */
@@ -48,7 +48,7 @@
             try (Client client = program.client()) {
                 client.get("/healthz");
                 for (String way : new String[] {"done", "returned", "lost", "failed", "done", "done"}) {
-                    client.send(Client.req(way.equals("failed") ? "/pay/x" : "/preview/x", "4000m", "", "b"));
+                    client.send(Client.request(way.equals("failed") ? "/pay/x" : "/preview/x", "4000m", "", "b"));
                     answer(one, two, way);
                     client.read();
                 }
@@ -61,7 +61,7 @@
         }
     }
 
-    /** Answers all probes, and the first fetch in the given way; a fetch that follows it is served. */
+    /** Answers all probes, and the first attempt in the given way; an attempt that follows it is served. */
     private static void answer(Peer one, Peer two, String way) throws IOException, InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peer.PATIENCE_S);
         boolean first = true;
--- a/src/main/java/badgermux/Room.java
+++ b/src/main/java/badgermux/Room.java
@@ -3,9 +3,9 @@
 /**
  * How descriptors are shared out.
  *
- * @param clients    connections of clients that are served at once: those with reqs hold a third of all at most
+ * @param clients    connections of clients that are served at once: those with requests hold a third of all at most
  * @param overCap    how many more are let in for a moment, to be told so
- * @param toBackends connections to backends: each open req may need one
+ * @param toBackends connections to backends: each open request may need one
  * @param callers    operators' calls
  */
 record Room(int clients, int overCap, int toBackends, int callers) {
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -34,7 +34,7 @@
 
 /** Joins the parts of one real dispatcher on its event loop; rereads its configuration on SIGHUP, ends on SIGTERM. */
 final class Server {
-    /** The part of all memory that bodies may hold until their reqs are answered: 12 MB of 192. */
+    /** The part of all memory that bodies may hold until their requests are answered: 12 MB of 192. */
     private static final int HELD_PART = 16;
     /** How long the end waits for its counters, and then its log, to be written, in milliseconds. */
     private static final long PRINTING = 200;
--- a/src/main/java/badgermux/backend/FetchExchange.java
+++ b/src/main/java/badgermux/backend/AttemptExchange.java
@@ -13,12 +13,12 @@
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 
-/** A fetch on its connection: the req as it goes on, and what the lines and statuses that come back mean. */
-final class FetchExchange implements ClientConnection.Exchange {
+/** An attempt on its connection: the request as it goes on, and what the lines and statuses that come back mean. */
+final class AttemptExchange implements ClientConnection.Exchange {
     private final Relay relay;
     private final String host;
     private final long limit;
-    private final long fetch;
+    private final long attempt;
     private final Backends backends;
     private final Pooled pooled;
     private final Lines lines = new Lines();
@@ -31,11 +31,11 @@
     private boolean told;
     private Deadlines.Deadline tail;
 
-    FetchExchange(Relay relay, String host, long limit, long fetch, Backends backends, Pooled pooled) {
+    AttemptExchange(Relay relay, String host, long limit, long attempt, Backends backends, Pooled pooled) {
         this.relay = relay;
         this.host = host;
         this.limit = limit;
-        this.fetch = fetch;
+        this.attempt = attempt;
         this.backends = backends;
         this.pooled = pooled;
     }
@@ -84,7 +84,7 @@
             return;
         }
         JsonLine line = JsonLine.parse(bytes);
-        // Guards against an answer to another req: it must reach no client.
+        // Guards against an answer to another request: it must reach no client.
         if (!relay.id().equals(line.text("id"))) {
             throw new BadMessage(502, "a line for another req");
         }
@@ -94,8 +94,8 @@
         }
         String state = String.valueOf(line.text("state"));
         switch (state) {
-            case "started" -> backends.engine().started(fetch);
-            case "running" -> backends.engine().progress(fetch);
+            case "started" -> backends.engine().started(attempt);
+            case "running" -> backends.engine().progress(attempt);
             case "done" -> {
                 result = line.content("result");
                 outcome = result == null ? Outcome.RESET : Outcome.SERVED;
@@ -152,12 +152,12 @@
     private void tell(Outcome what) {
         if (!told) {
             told = true;
-            backends.settled(fetch);
+            backends.settled(attempt);
             if (what == Outcome.SERVED && relay.terms() != null) {
                 relay.terms().result(result, usable ->
-                    backends.engine().ended(fetch, what, usable ? result : null, report));
+                    backends.engine().ended(attempt, what, usable ? result : null, report));
             } else {
-                backends.engine().ended(fetch, what, result, report);
+                backends.engine().ended(attempt, what, result, report);
             }
         }
     }
--- a/src/main/java/badgermux/backend/Backends.java
+++ b/src/main/java/badgermux/backend/Backends.java
@@ -17,7 +17,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 
-/** The backends, their connections, and the fetches and probes on them. */
+/** The backends, their connections, and the attempts and probes on them. */
 public final class Backends implements Outbound<Relay> {
     /** A probe that takes longer tells nothing any more. */
     static final long PROBE_LIMIT = 500_000;
@@ -46,7 +46,7 @@
     private int cap;
     private final String probeTarget;
     private final Map<Long, Backend> backends = new HashMap<>();
-    private final Map<Long, FetchExchange> fetches = new HashMap<>();
+    private final Map<Long, AttemptExchange> attempts = new HashMap<>();
     /** All idle connections, the one that has been so longest first. */
     private final LinkedHashSet<Pooled> idle = new LinkedHashSet<>();
     private int connections;
@@ -95,42 +95,42 @@
         backends.remove(id);
     }
 
-    @Override public void fetch(long fetch, long id, Relay payload, long limit) {
+    @Override public void attempt(long attempt, long id, Relay payload, long limit) {
         Backend backend = backends.get(id);
         Pooled pooled = backend == null ? null : connect(backend);
         if (pooled == null) {
             // Guards against a backend set aside because we have no connection to spare.
-            engine.ended(fetch, backend == null ? Dispatch.Outcome.CONNECT_FAILED : Dispatch.Outcome.MOOT, null, null);
+            engine.ended(attempt, backend == null ? Dispatch.Outcome.CONNECT_FAILED : Dispatch.Outcome.MOOT, null, null);
             return;
         }
-        FetchExchange exchange = new FetchExchange(payload, backend.host(), limit, fetch, this, pooled);
-        fetches.put(fetch, exchange);
+        AttemptExchange exchange = new AttemptExchange(payload, backend.host(), limit, attempt, this, pooled);
+        attempts.put(attempt, exchange);
         pooled.connection.start(exchange);
     }
 
-    @Override public void abort(long fetch) {
-        FetchExchange exchange = fetches.remove(fetch);
+    @Override public void abort(long attempt) {
+        AttemptExchange exchange = attempts.remove(attempt);
         if (exchange != null) {
             exchange.on().connection.abort();
         }
     }
 
-    @Override public boolean withdraw(long fetch) {
-        FetchExchange exchange = fetches.get(fetch);
+    @Override public boolean withdraw(long attempt) {
+        AttemptExchange exchange = attempts.get(attempt);
         boolean unsent = exchange != null && !exchange.isBegun();
         if (unsent) {
-            abort(fetch);
+            abort(attempt);
         }
         return unsent;
     }
 
     /**
-     * Guards against a connection that comes up late and takes a fetch to a backend that by then drains, is gone or has
+     * Guards against a connection that comes up late and takes an attempt to a backend that by then drains, is gone or has
      * another address: what has not begun to be written is taken back, and the module decides anew.
      */
     public void takeBack(long id) {
         Backend backend = backends.get(id);
-        fetches.entrySet().stream().filter(e -> e.getValue().on().backend == backend && !e.getValue().isBegun())
+        attempts.entrySet().stream().filter(e -> e.getValue().on().backend == backend && !e.getValue().isBegun())
             .map(Map.Entry::getKey).toList().forEach(engine::withdraw);
     }
 
@@ -169,12 +169,12 @@
         return clock.getAsLong();
     }
 
-    /** A fetch's exchange is over, or its result is in: nothing more is to be aborted. */
-    void settled(long fetch) {
-        fetches.remove(fetch);
+    /** An attempt's exchange is over, or its result is in: nothing more is to be aborted. */
+    void settled(long attempt) {
+        attempts.remove(attempt);
     }
 
-    /** A fetch's last byte has left: the backend may run it. */
+    /** An attempt's last byte has left: the backend may run it. */
     void written() {
         metrics.add(Count.FETCHES_WRITTEN);
     }
--- a/src/main/java/badgermux/backend/package-info.java
+++ b/src/main/java/badgermux/backend/package-info.java
@@ -1,2 +1,2 @@
-/** Backend connections, and the fetches and probes on them. */
+/** Backend connections, and the attempts and probes on them. */
 package badgermux.backend;
--- a/src/main/java/badgermux/core/Asker.java
+++ b/src/main/java/badgermux/core/Asker.java
@@ -1,6 +1,6 @@
 package badgermux.core;
 
-/** Who handed in a req. Told its final answer, one of these three, exactly once. */
+/** Who handed in a request. Told its final answer, one of these three, exactly once. */
 public interface Asker {
     /** Served: the result as the backend gave it. */
     void served(byte[] result);
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -12,53 +12,53 @@
 import org.tinylog.Logger;
 
 /**
- * Carries out what the decision module decides, and tells it what comes of it. Knows reqs, fetches and deadlines, and
+ * Carries out what the decision module decides, and tells it what comes of it. Knows requests, attempts and deadlines, and
  * nothing of the protocols in front and behind. Single-threaded: all calls come from the event loop.
  *
- * @param <P> what a req carries from its front to the backends
+ * @param <P> what a request carries from its front to the backends
  */
 public final class Engine<P> implements Dispatch.Actions {
-    /** A fetch ends this long before its client gives up: its deadline ran while the req was on its way here. */
-    static final long FETCH_MARGIN = 30_000;
-    /** A req that is unanswered this long before its client gives up is failed, whatever the module does. */
+    /** An attempt ends this long before its client gives up: its deadline ran while the request was on its way here. */
+    static final long ATTEMPT_MARGIN = 30_000;
+    /** A request that is unanswered this long before its client gives up is failed, whatever the module does. */
     static final long ANSWER_MARGIN = 15_000;
 
-    /** A client's req until its final answer and the last outcome of its fetches. */
-    private static final class Req<P> {
+    /** A client's request until its final answer and the last outcome of its attempts. */
+    private static final class Request<P> {
         private final Asker asker;
         private final P payload;
         private final int jobClass;
-        private final long fetchLimit;
-        private final List<Long> fetches = new ArrayList<>(2);
+        private final long attemptLimit;
+        private final List<Long> attempts = new ArrayList<>(2);
         private Deadlines.Deadline overdue;
         private int out;
         private boolean over;
         private boolean timedOut;
 
-        Req(Asker asker, P payload, int jobClass, long fetchLimit) {
+        Request(Asker asker, P payload, int jobClass, long attemptLimit) {
             this.asker = asker;
             this.payload = payload;
             this.jobClass = jobClass;
-            this.fetchLimit = fetchLimit;
+            this.attemptLimit = attemptLimit;
         }
     }
 
     /** One attempt at a backend; {@code limit} ends it. */
-    private static final class Fetch {
-        private final long req;
-        private final int attempt;
+    private static final class Attempt {
+        private final long request;
+        private final int number;
         private final long backend;
         private Deadlines.Deadline limit;
 
-        Fetch(long req, int attempt, long backend) {
-            this.req = req;
-            this.attempt = attempt;
+        Attempt(long request, int number, long backend) {
+            this.request = request;
+            this.number = number;
             this.backend = backend;
         }
     }
 
-    private final SlotTable<Req<P>> reqs = new SlotTable<>();
-    private final SlotTable<Fetch> fetches = new SlotTable<>();
+    private final SlotTable<Request<P>> requests = new SlotTable<>();
+    private final SlotTable<Attempt> attempts = new SlotTable<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final LongSupplier clock;
     private final Deadlines deadlines;
@@ -76,7 +76,7 @@
         this.metrics = metrics;
         this.maxAttempts = maxAttempts;
         metrics.gauge("current", () -> open);
-        metrics.level("fetches_out", fetches::size);
+        metrics.level("fetches_out", attempts::size);
     }
 
     /** Joins the parts that need the engine to be made; called once, before any event. */
@@ -86,7 +86,7 @@
         watch = watchList;
     }
 
-    /** How many reqs wait for their final answer. */
+    /** How many requests wait for their final answer. */
     public int open() {
         return open;
     }
@@ -94,26 +94,26 @@
     // ---- From the front
 
     /**
-     * Takes a req of a class and a tenant in, whose client gives up at {@code until}; returns the handle for
+     * Takes a request of a class and a tenant in, whose client gives up at {@code until}; returns the handle for
      * {@link #askerGone}.
      */
     public long take(Asker asker, P payload, int jobClass, int tenant, double slots, long until) {
         metrics.add(Count.REQS_TAKEN);
-        Req<P> r = new Req<>(asker, payload, jobClass, until - FETCH_MARGIN);
-        long id = reqs.add(r);
+        Request<P> r = new Request<>(asker, payload, jobClass, until - ATTEMPT_MARGIN);
+        long id = requests.add(r);
         open++;
         r.overdue = deadlines.at(until - ANSWER_MARGIN, () -> overdue(id));
-        // The module counts on the time until fetches end, which leaves it room to answer after a time-out.
+        // The module counts on the time until attempts end, which leaves it room to answer after a time-out.
         tell(id, () -> {
             long now = clock.getAsLong();
-            module.request(now, new Dispatch.Job(id, jobClass, tenant, slots, 0, Math.max(0, until - FETCH_MARGIN - now)));
+            module.request(now, new Dispatch.Job(id, jobClass, tenant, slots, 0, Math.max(0, until - ATTEMPT_MARGIN - now)));
         });
         return id;
     }
 
     /** The client has left before its final answer. */
     public void askerGone(long id) {
-        Req<P> r = reqs.get(id);
+        Request<P> r = requests.get(id);
         if (r == null || r.over) {
             return;
         }
@@ -129,45 +129,45 @@
         });
     }
 
-    /** Guards against a req that the module holds beyond its client's patience: none goes unanswered. */
+    /** Guards against a request that the module holds beyond its client's patience: none goes unanswered. */
     private void overdue(long id) {
-        Req<P> r = reqs.get(id);
+        Request<P> r = requests.get(id);
         if (r == null || r.over) {
             return;
         }
         metrics.add(Count.ANSWERS_OVERDUE);
-        failReq(r, true);
+        failRequest(r, true);
         leave(id);
     }
 
     // ---- From the backends
 
-    public void started(long fetch) {
-        Fetch f = known(fetch);
-        if (f != null) {
-            tell(f.req, () -> module.started(clock.getAsLong(), f.req, f.attempt));
+    public void started(long attempt) {
+        Attempt a = known(attempt);
+        if (a != null) {
+            tell(a.request, () -> module.started(clock.getAsLong(), a.request, a.number));
         }
     }
 
-    public void progress(long fetch) {
-        Fetch f = known(fetch);
-        if (f != null) {
-            tell(f.req, () -> module.progress(clock.getAsLong(), f.req, f.attempt));
+    public void progress(long attempt) {
+        Attempt a = known(attempt);
+        if (a != null) {
+            tell(a.request, () -> module.progress(clock.getAsLong(), a.request, a.number));
         }
     }
 
     /**
-     * A fetch has ended; {@code result} is its answer where the outcome is SERVED, {@code report} may be null. Where a
-     * backend has served what can't be used, the result is null: the req fails, and it does not run again.
+     * An attempt has ended; {@code result} is its answer where the outcome is SERVED, {@code report} may be null. Where a
+     * backend has served what can't be used, the result is null: the request fails, and it does not run again.
      */
-    public void ended(long fetch, Outcome outcome, byte[] result, Dispatch.Report report) {
-        Fetch f = fetches.remove(fetch);
-        if (f == null) {
+    public void ended(long attempt, Outcome outcome, byte[] result, Dispatch.Report report) {
+        Attempt a = attempts.remove(attempt);
+        if (a == null) {
             metrics.add(Count.LATE_EVENTS);
             return;
         }
-        deadlines.cancel(f.limit);
-        over(f, outcome, result, report);
+        deadlines.cancel(a.limit);
+        over(a, outcome, result, report);
     }
 
     public void probed(long backend, boolean answered, Dispatch.Report report) {
@@ -177,12 +177,12 @@
         tell(0, () -> module.probed(clock.getAsLong(), backend, answered, report));
     }
 
-    private Fetch known(long fetch) {
-        Fetch f = fetches.get(fetch);
-        if (f == null) {
+    private Attempt known(long attempt) {
+        Attempt a = attempts.get(attempt);
+        if (a == null) {
             metrics.add(Count.LATE_EVENTS);
         }
-        return f;
+        return a;
     }
 
     /** What the module leaves to the next process. */
@@ -213,34 +213,34 @@
 
     // ---- Outcomes and final answers
 
-    private void timedOut(long fetch) {
-        Fetch f = fetches.remove(fetch);
-        if (f != null) {
-            outbound.abort(fetch);
-            over(f, Outcome.TIMED_OUT, null, null);
+    private void timedOut(long attempt) {
+        Attempt a = attempts.remove(attempt);
+        if (a != null) {
+            outbound.abort(attempt);
+            over(a, Outcome.TIMED_OUT, null, null);
         }
     }
 
-    /** The first result reaches the client at once; each outcome is told, with whether its req is settled by then. */
-    private void over(Fetch f, Outcome outcome, byte[] result, Dispatch.Report report) {
+    /** The first result reaches the client at once; each outcome is told, with whether its request is settled by then. */
+    private void over(Attempt a, Outcome outcome, byte[] result, Dispatch.Report report) {
         metrics.add(Count.valueOf("FETCHES_" + outcome));
-        Req<P> r = reqs.get(f.req);
+        Request<P> r = requests.get(a.request);
         r.out--;
         r.timedOut |= outcome == Outcome.TIMED_OUT;
         if (outcome == Outcome.SERVED && result == null && !r.over) {
-            failReq(r, false);
+            failRequest(r, false);
         } else if (outcome == Outcome.SERVED && !r.over) {
             close(r);
             metrics.ended(Ending.ANSWERED, r.jobClass);
             answer(() -> r.asker.served(result));
         }
-        tell(f.req, () -> {
-            module.outcome(clock.getAsLong(), f.req, f.attempt, f.backend, outcome, r.over, report);
-            forget(f.req);
+        tell(a.request, () -> {
+            module.outcome(clock.getAsLong(), a.request, a.number, a.backend, outcome, r.over, report);
+            forget(a.request);
         });
     }
 
-    private void failReq(Req<P> r, boolean late) {
+    private void failRequest(Request<P> r, boolean late) {
         close(r);
         metrics.ended(Ending.ERRORED, r.jobClass);
         answer(() -> r.asker.failed(late));
@@ -256,53 +256,53 @@
         }
     }
 
-    private void close(Req<P> r) {
+    private void close(Request<P> r) {
         r.over = true;
         open--;
         deadlines.cancel(r.overdue);
-        // Guards against a connection that comes up late and takes a fetch whose client has left or has its answer,
+        // Guards against a connection that comes up late and takes an attempt whose client has left or has its answer,
         // also where nothing that was sent may be cancelled: none of this one was.
-        for (long handle : List.copyOf(r.fetches)) {
+        for (long handle : List.copyOf(r.attempts)) {
             withdraw(handle);
         }
     }
 
-    /** Takes a fetch back of which nothing has been written: it surely never ran. */
-    public void withdraw(long fetch) {
-        Fetch f = fetches.get(fetch);
-        if (f != null && outbound.withdraw(fetch)) {
-            fetches.remove(fetch);
-            deadlines.cancel(f.limit);
-            tell(f.req, () -> over(f, Outcome.MOOT, null, null));
+    /** Takes an attempt back of which nothing has been written: it surely never ran. */
+    public void withdraw(long attempt) {
+        Attempt a = attempts.get(attempt);
+        if (a != null && outbound.withdraw(attempt)) {
+            attempts.remove(attempt);
+            deadlines.cancel(a.limit);
+            tell(a.request, () -> over(a, Outcome.MOOT, null, null));
         }
     }
 
-    /** A req leaves the table once nothing more can be told of it. */
+    /** A request leaves the table once nothing more can be told of it. */
     private void forget(long id) {
-        Req<P> r = reqs.get(id);
+        Request<P> r = requests.get(id);
         if (r != null && r.over && r.out == 0) {
-            reqs.remove(id);
+            requests.remove(id);
         }
     }
 
     /**
      * Tells the module of events one after another: what an action brings about at once waits until the event that
-     * caused it has been dealt with. An exception ends the req it came up in (0: none), not the process.
+     * caused it has been dealt with. An exception ends the request it came up in (0: none), not the process.
      */
-    private void tell(long req, Runnable event) {
+    private void tell(long request, Runnable event) {
         events.add(() -> {
             try {
                 event.run();
             } catch (RuntimeException e) {
                 metrics.add(Count.EXCEPTIONS);
                 Logger.error(e, "exception in an event");
-                Req<P> r = reqs.get(req);
+                Request<P> r = requests.get(request);
                 if (r != null && !r.over) {
-                    failReq(r, false);
-                    // Guards against a req that has its answer and that the module goes on holding, and sends later.
-                    leave(req);
+                    failRequest(r, false);
+                    // Guards against a request that has its answer and that the module goes on holding, and sends later.
+                    leave(request);
                 }
-                forget(req);
+                forget(request);
             }
         });
         if (telling) {
@@ -321,26 +321,26 @@
     // ---- What the module decides
 
     @Override public void send(long job, long worker) {
-        Req<P> r = reqs.get(job);
+        Request<P> r = requests.get(job);
         if (r == null) {
             throw new IllegalStateException("the module sends a req that has ended");
         }
-        Fetch f = new Fetch(job, r.fetches.size(), worker);
+        Attempt a = new Attempt(job, r.attempts.size(), worker);
         r.out++;
-        if (r.over || r.fetches.size() >= maxAttempts || clock.getAsLong() >= r.fetchLimit) {
-            r.fetches.add(0L);
-            tell(job, () -> over(f, Outcome.MOOT, null, null));
+        if (r.over || r.attempts.size() >= maxAttempts || clock.getAsLong() >= r.attemptLimit) {
+            r.attempts.add(0L);
+            tell(job, () -> over(a, Outcome.MOOT, null, null));
             return;
         }
         metrics.add(Count.FETCHES_SENT);
-        long handle = fetches.add(f);
-        r.fetches.add(handle);
-        f.limit = deadlines.at(r.fetchLimit, () -> timedOut(handle));
-        outbound.fetch(handle, worker, r.payload, r.fetchLimit);
+        long handle = attempts.add(a);
+        r.attempts.add(handle);
+        a.limit = deadlines.at(r.attemptLimit, () -> timedOut(handle));
+        outbound.attempt(handle, worker, r.payload, r.attemptLimit);
     }
 
     @Override public void refuse(long job, long comeBack) {
-        Req<P> r = reqs.get(job);
+        Request<P> r = requests.get(job);
         if (r != null && !r.over) {
             close(r);
             metrics.ended(Ending.DEFERRED, r.jobClass);
@@ -350,21 +350,21 @@
     }
 
     @Override public void fail(long job) {
-        Req<P> r = reqs.get(job);
+        Request<P> r = requests.get(job);
         if (r != null && !r.over) {
-            failReq(r, r.timedOut);
+            failRequest(r, r.timedOut);
             tell(job, () -> forget(job));
         }
     }
 
     @Override public void cancel(long job, int attempt) {
-        Req<P> r = reqs.get(job);
-        long handle = r == null || attempt >= r.fetches.size() ? 0 : r.fetches.get(attempt);
-        Fetch f = fetches.remove(handle);
-        if (f != null) {
-            deadlines.cancel(f.limit);
+        Request<P> r = requests.get(job);
+        long handle = r == null || attempt >= r.attempts.size() ? 0 : r.attempts.get(attempt);
+        Attempt a = attempts.remove(handle);
+        if (a != null) {
+            deadlines.cancel(a.limit);
             outbound.abort(handle);
-            tell(job, () -> over(f, Outcome.CANCELLED, null, null));
+            tell(job, () -> over(a, Outcome.CANCELLED, null, null));
         }
     }
 
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -46,7 +46,7 @@
     static final long SPARED_MOVING = 3_000_000;
     /** How soon those who wait to be accepted are looked after again, while there is no room. */
     private static final long ACCEPT_AGAIN = 20_000;
-    /** When a req that is refused here, for want of room, should come again. */
+    /** When a request that is refused here, for want of room, should come again. */
     private static final long COME_BACK = 500_000;
 
     private final LongSupplier clock;
@@ -69,13 +69,13 @@
     private final LinkedHashSet<FrontConnection> fresh = new LinkedHashSet<>();
     /** Those that have begun a request, the one that has said nothing for longest first. */
     private final LinkedHashSet<FrontConnection> halfway = new LinkedHashSet<>();
-    /** Those between two requests that never brought a req. */
+    /** Those between two requests that never brought a request. */
     private final LinkedHashSet<FrontConnection> strangers = new LinkedHashSet<>();
-    /** Those between two reqs, the one that has been so longest first. */
+    /** Those between two requests, the one that has been so longest first. */
     private final LinkedHashSet<FrontConnection> resting = new LinkedHashSet<>();
     /** Those that we have begun to end and that are heard out, the one that has been so longest first. */
     private final LinkedHashSet<FrontConnection> ending = new LinkedHashSet<>();
-    /** The ids of all reqs that wait for their answer. */
+    /** The ids of all requests that wait for their answer. */
     private final Set<String> openIds = new HashSet<>();
     private Channel listener;
     private Deadlines.Deadline acceptAgain;
@@ -89,10 +89,10 @@
      * Makes a front that does not listen yet.
      *
      * @param settings what the module is told: the classes, and how long clients may be told to stay away
-     * @param ready    whether reqs can be served
+     * @param ready    whether requests can be served
      * @param cap      how many client connections are served at once
      * @param overCap  how many more are accepted, to be told so and not left to wait
-     * @param maxHeld  what all bodies that have come, whole or in part, may hold until their reqs are answered
+     * @param maxHeld  what all bodies that have come, whole or in part, may hold until their requests are answered
      * @param gate     judges requests before they are taken; null where all may come in
      */
     public Front(LongSupplier clock, Deadlines deadlines, Metrics metrics, Engine<Relay> engine,
@@ -167,7 +167,7 @@
     }
 
     /**
-     * Another process serves the same socket from here on: none are accepted, clients between two reqs are closed, and
+     * Another process serves the same socket from here on: none are accepted, clients between two requests are closed, and
      * the others once they have their answer, so that what they send next goes to that process.
      */
     public void handOver() {
@@ -214,9 +214,9 @@
 
     private void whenQuiet(Runnable quiet) {
         closeResting();
-        // Guards against a first req that crosses its connection's close: only those that say nothing are closed.
+        // Guards against a first request that crosses its connection's close: only those that say nothing are closed.
         List.copyOf(fresh).stream().filter(c -> now() - c.openedAt() >= SPARED).forEach(FrontConnection::close);
-        // Guards against a req that has come whole so late that it can't be answered before we are killed.
+        // Guards against a request that has come whole so late that it can't be answered before we are killed.
         List.copyOf(halfway).stream().filter(c -> now() >= drainedFrom + CHANGEOVER
             || !c.isMoving() && now() - c.heardAt() >= SPARED).forEach(FrontConnection::turnBack);
         if (connections.isEmpty() && engine.open() == 0) {
@@ -251,7 +251,7 @@
 
     /**
      * Closes the connection that will be missed least, if there is one: a stranger's, then one that has said nothing
-     * for a while, then one that left half a request behind, then a client's between two reqs, which sends what crosses
+     * for a while, then one that left half a request behind, then a client's between two requests, which sends what crosses
      * the close once more. One whose request goes on coming comes last, and only after 3 s.
      */
     private boolean makeRoom() {
@@ -359,7 +359,7 @@
         ending.remove(connection);
     }
 
-    /** Whether a req of this id waits for its answer. */
+    /** Whether a request of this id waits for its answer. */
     boolean isOpen(String id) {
         return openIds.contains(id);
     }
@@ -382,7 +382,7 @@
         return draining && now() >= drainedFrom + lastAnswer;
     }
 
-    /** Whether as many reqs as connections are served wait for their answer: one more is turned away. */
+    /** Whether as many requests as connections are served wait for their answer: one more is turned away. */
     boolean isOverCap() {
         return openIds.size() >= cap;
     }
@@ -392,7 +392,7 @@
         return comeBack;
     }
 
-    /** Whether the reqs of a class come with a key. */
+    /** Whether the requests of a class come with a key. */
     boolean needsKey(int jobClass) {
         return keyed.contains(jobClass);
     }
@@ -411,7 +411,7 @@
         return notReady() == null;
     }
 
-    /** Why reqs can't be served here; null where they can. */
+    /** Why requests can't be served here; null where they can. */
     public String notReady() {
         return draining ? "this process is ending" : !listener.isActive() ? "clients can't connect yet"
             : ready.getAsBoolean() ? null : "there is no list of runners yet";
@@ -449,7 +449,7 @@
     }
 
     /**
-     * The number of a tenant; 0 where the settings name none. One that they do not name, and a req without, has no share:
+     * The number of a tenant; 0 where the settings name none. One that they do not name, and a request without, has no share:
      * it gets the number behind the last, is counted, and served as traffic beyond a share is.
      */
     int tenantOf(String name) {
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -23,7 +23,7 @@
 import java.util.Locale;
 import org.tinylog.Logger;
 
-/** A client's connection: one req at a time, each with its final answer. */
+/** A client's connection: one request at a time, each with its final answer. */
 final class FrontConnection extends ChannelInboundHandlerAdapter implements MessageReader.Sink, Asker {
     /** A connection that owes the rest of a request, or its first one, is heard out so long from the last byte on. */
     static final long SILENT_FOR = 2_000_000;
@@ -63,7 +63,7 @@
     private Deadlines.Deadline limit;
     private String openId;
     private Terms terms;
-    private long req;
+    private long request;
     private long cameAt;
     private long heardAt;
     private boolean moving;
@@ -104,7 +104,7 @@
         return moving;
     }
 
-    /** Whether a req was taken from it: a bad client's connections never get that far. */
+    /** Whether a request was taken from it: a bad client's connections never get that far. */
     boolean isKnown() {
         return known;
     }
@@ -139,7 +139,7 @@
 
     /**
      * Reads request after request; an answer given at once does not come back in here. One request is read ahead of its
-     * turn, so that what is no request is rejected now and not once the req before it has its answer.
+     * turn, so that what is no request is rejected now and not once the request before it has its answer.
      */
     private void process() {
         if (reading) {
@@ -264,13 +264,13 @@
             throw new BadMessage(400, "Host is missing");
         }
         switch (line[0]) {
-            case "POST" -> req(ReqHead.of(current.head, line[0], line[1]), line[0], line[1]);
+            case "POST" -> post(RequestHead.of(current.head, line[0], line[1]), line[0], line[1]);
             case "GET" -> about(line[1]);
             default -> throw new BadMessage(405, "every req comes by POST");
         }
     }
 
-    private void req(ReqHead fields, String method, String target) throws BadMessage {
+    private void post(RequestHead fields, String method, String target) throws BadMessage {
         int jobClass = front.classOf(fields.className());
         if (jobClass < 0) {
             throw new BadMessage(400, "unknown class");
@@ -278,7 +278,7 @@
         if (!fields.keyed() && front.needsKey(jobClass)) {
             throw new BadMessage(400, "Idempotency-Key is missing");
         }
-        // Guards against a req that takes another client's place at the backends: they know a req by its id.
+        // Guards against a request that takes another client's place at the backends: they know a request by its id.
         if (front.isOpen(fields.id())) {
             front.metrics().add(Count.IDS_IN_USE);
             throw new BadMessage(409, "X-Request-ID is in use");
@@ -290,7 +290,7 @@
             turnAway(jobClass);
             return;
         }
-        // Guards against a req that is taken so late that it would be open when we are killed.
+        // Guards against a request that is taken so late that it would be open when we are killed.
         if (front.isPastLastAnswer()) {
             turnAway(jobClass);
             return;
@@ -305,7 +305,7 @@
         openId = fields.id();
         front.take(openId);
         front.works(this);
-        req = 0;
+        request = 0;
         if (front.gate() == null) {
             take(fields, jobClass, body);
         } else {
@@ -321,12 +321,12 @@
 
     /** Waits for what the gate says of a request. */
     private final class Judged implements Gate.Answer {
-        private final ReqHead fields;
+        private final RequestHead fields;
         private final int jobClass;
         private final byte[] body;
         private final Incoming of;
 
-        Judged(ReqHead fields, int jobClass, byte[] body, Incoming of) {
+        Judged(RequestHead fields, int jobClass, byte[] body, Incoming of) {
             this.fields = fields;
             this.jobClass = jobClass;
             this.body = body;
@@ -361,7 +361,7 @@
         }
     }
 
-    private void take(ReqHead fields, int jobClass, byte[] body) {
+    private void take(RequestHead fields, int jobClass, byte[] body) {
         if (front.isPastLastAnswer()) {     // it has been judged for as long as that
             turnAway(jobClass);
             return;
@@ -371,7 +371,7 @@
         long patience = Math.min(fields.timeout() > 0 ? fields.timeout() : Long.MAX_VALUE, front.patience(jobClass));
         long taken = front.engine().take(this, relay, jobClass, front.tenantOf(fields.tenant()), fields.slots(),
             current.cameAt + patience);
-        req = busy ? taken : 0;     // it may have its answer by now
+        request = busy ? taken : 0;     // it may have its answer by now
     }
 
     /** What operators ask: whether it is ready, and the counters. */
@@ -417,7 +417,7 @@
         }
     }
 
-    /** Ends the connection with an error. What it says of a req that is still open, too: nothing more comes of it. */
+    /** Ends the connection with an error. What it says of a request that is still open, too: nothing more comes of it. */
     private void reject(int status, String why) {
         front.metrics().add(Count.BAD_MESSAGES);
         breakOff(status, "Rejected", why);
@@ -429,7 +429,7 @@
     }
 
     private void breakOff(int status, String reason, String why) {
-        long open = busy ? req : 0;
+        long open = busy ? request : 0;
         over();
         keepAlive = false;
         if (open != 0) {
@@ -477,7 +477,7 @@
         current = null;
         front.answered(openId);
         openId = null;
-        req = 0;
+        request = 0;
     }
 
     private void forgetInput() {
@@ -510,12 +510,12 @@
         channel.close();
     }
 
-    /** Guards against a client that has left and whose req goes on: its end is noticed while it waits, too. */
+    /** Guards against a client that has left and whose request goes on: its end is noticed while it waits, too. */
     @Override public void channelInactive(ChannelHandlerContext ctx) {
         closed = true;
         front.closed(this);
         front.deadlines().cancel(limit);
-        long open = busy ? req : 0;
+        long open = busy ? request : 0;
         over();
         forgetInput();
         if (open != 0) {
@@ -530,7 +530,7 @@
         }
         front.metrics().add(Count.EXCEPTIONS);
         Logger.error(cause, "exception on a client's connection");
-        // Guards against a req that ends without an answer: an exception ends it, but tells its client so.
+        // Guards against a request that ends without an answer: an exception ends it, but tells its client so.
         if (closed || ending) {
             cutOff();
         } else {
--- a/src/main/java/badgermux/front/ReqHead.java
+++ b/src/main/java/badgermux/front/RequestHead.java
@@ -10,7 +10,7 @@
 import java.util.regex.Pattern;
 
 /** The fields of a client's request that decisions need, and the lines that go on to a backend. */
-record ReqHead(String id, String className, String tenant, boolean keyed, double slots, long timeout, String start,
+record RequestHead(String id, String className, String tenant, boolean keyed, double slots, long timeout, String start,
         String headers) {
     /** Lines that concern one connection only, or that are written anew. */
     private static final Set<String> NOT_PASSED_ON = Set.of("host", "connection", "keep-alive", "proxy-connection",
@@ -24,7 +24,7 @@
     private static final long LONGEST_TIMEOUT = 3_600_000_000L;
 
     /** {@code timeout} is 0 where the client names none, {@code tenant} null. */
-    static ReqHead of(Head head, String method, String target) throws BadMessage {
+    static RequestHead of(Head head, String method, String target) throws BadMessage {
         for (String name : AT_MOST_ONCE) {
             if (head.all(name).size() > 1) {
                 throw new BadMessage(400, name + " stands there twice");
@@ -46,7 +46,7 @@
         String key = head.get("Idempotency-Key");
         StringBuilder headers = new StringBuilder();
         head.copyLines(headers, NOT_PASSED_ON);
-        return new ReqHead(id, path, head.get("X-Tenant-Id"), key != null && !key.isEmpty(), slots(head.get("X-Attrs")),
+        return new RequestHead(id, path, head.get("X-Tenant-Id"), key != null && !key.isEmpty(), slots(head.get("X-Attrs")),
             timeout(head.get("X-Timeout")), method + ' ' + target + " HTTP/1.1", headers.toString());
     }
 
--- a/src/main/java/badgermux/front/package-info.java
+++ b/src/main/java/badgermux/front/package-info.java
@@ -1,2 +1,2 @@
-/** Client connections: from the bytes of a req to its final answer. */
+/** Client connections: from the bytes of a request to its final answer. */
 package badgermux.front;
--- a/src/main/java/badgermux/gate/ContractGate.java
+++ b/src/main/java/badgermux/gate/ContractGate.java
@@ -22,7 +22,7 @@
 import org.tinylog.Logger;
 
 /**
- * Judges requests by the contracts in force, and answers by those that took their req. What is small is judged on the
+ * Judges requests by the contracts in force, and answers by those that took their request. What is small is judged on the
  * event loop, within few steps; what is large, or proves costly, on threads of its own, so that nobody else waits for
  * it. All calls come from the event loop.
  */
@@ -33,7 +33,7 @@
     private static final int MAX_WAITING = 256, JUDGES = 2;
     private static final int MAX_TOLD = 20;
 
-    /** A set of contracts and the reqs that it took and that are not answered yet. */
+    /** A set of contracts and the requests that it took and that are not answered yet. */
     private static final class Revision {
         private final Contracts contracts;
         private int open;
@@ -43,14 +43,14 @@
         }
     }
 
-    /** What operators see of a revision: its number, and how many of its reqs wait for their answer. */
+    /** What operators see of a revision: its number, and how many of its requests wait for their answer. */
     public record Alive(long revision, int open) { }
 
     private final Executor loop;
     private final Metrics metrics;
     private final ThreadPoolExecutor judges;
     private final Recent recent = new Recent();
-    /** Those that were replaced and still have reqs. */
+    /** Those that were replaced and still have requests. */
     private final List<Revision> leaving = new ArrayList<>();
     private Revision current;
     private int told;
@@ -148,14 +148,14 @@
             "Content-Type: application/problem+json\r\n" + more, ProblemJson.of(verdict, by.contracts.revision()));
     }
 
-    /** An exception ends its req, never the process. */
+    /** An exception ends its request, never the process. */
     private void fault(Throwable e, Answer answer) {
         metrics.add(Count.EXCEPTIONS);
         Logger.error(e, "exception while a request was judged");
         answer.refuse(500, "Internal Server Error", "", new byte[0]);
     }
 
-    /** The terms of a req that was taken: its revision lives until it is over. */
+    /** The terms of a request that was taken: its revision lives until it is over. */
     private final class Held implements Terms {
         private final Revision by;
         private final Contracts.Terms terms;
--- a/src/main/java/badgermux/http/Relay.java
+++ b/src/main/java/badgermux/http/Relay.java
@@ -3,7 +3,7 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * What of a req goes on to a backend as it came.
+ * What of a request goes on to a backend as it came.
  *
  * @param id      the text of X-Request-ID
  * @param start   method, target and version
--- a/src/main/java/badgermux/http/Terms.java
+++ b/src/main/java/badgermux/http/Terms.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Consumer;
 
-/** What a req's answer is held to, from when the req was taken until its final answer. */
+/** What a request's answer is held to, from when the request was taken until its final answer. */
 public interface Terms {
     /** The judge of one answer's lines. */
     interface Lines {
@@ -16,6 +16,6 @@
     /** Tells, at once or later but on the event loop, whether a result may be served. */
     void result(byte[] result, Consumer<Boolean> usable);
 
-    /** The req has its final answer, or nobody waits for it any more. */
+    /** The request has its final answer, or nobody waits for it any more. */
     void over();
 }
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -19,7 +19,7 @@
 
     private final List<String> told = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
-    private final List<Long> fetched = new ArrayList<>();
+    private final List<Long> attempted = new ArrayList<>();
     private final List<Long> aborted = new ArrayList<>();
     private final List<Long> unsent = new ArrayList<>();
     private final Metrics metrics = new Metrics(List.of("a", "b", "c"));
@@ -46,16 +46,16 @@
 
     EngineTest() {
         engine.join(new Module(), new Outbound<>() {
-            @Override public void fetch(long fetch, long backend, String payload, long limit) {
-                fetched.add(fetch);
+            @Override public void attempt(long attempt, long backend, String payload, long limit) {
+                attempted.add(attempt);
             }
 
-            @Override public void abort(long fetch) {
-                aborted.add(fetch);
+            @Override public void abort(long attempt) {
+                aborted.add(attempt);
             }
 
-            @Override public boolean withdraw(long fetch) {
-                return unsent.remove(fetch);
+            @Override public boolean withdraw(long attempt) {
+                return unsent.remove(attempt);
             }
 
             @Override public void probe(long backend) { }
@@ -126,13 +126,13 @@
     /** A second connection was still coming up: its attempt was written although the client had its answer. */
     @Test void whatHasNotBeenWrittenIsTakenBackOnceItsRequestIsOver() {
         take(this::sendTwo);
-        unsent.add(fetched.get(1));
-        engine.ended(fetched.get(0), Outcome.SERVED, bytes("r"), null);
+        unsent.add(attempted.get(1));
+        engine.ended(attempted.get(0), Outcome.SERVED, bytes("r"), null);
         assertEquals(List.of("1 MOOT true", "0 SERVED true"), told);
-        engine.ended(fetched.get(1), Outcome.SERVED, bytes("late"), null);
+        engine.ended(attempted.get(1), Outcome.SERVED, bytes("late"), null);
         assertEquals(List.of("served r"), answers);
         take(() -> engine.send(job, 1));
-        unsent.add(fetched.get(2));
+        unsent.add(attempted.get(2));
         engine.askerGone(job);
         assertEquals(List.of("0 MOOT true", "gone"), told.subList(2, 4));
         assertEquals(0, engine.open());
@@ -161,59 +161,59 @@
         };
         onRequest = () -> engine.send(job, 1);
         engine.take(breaks, "payload", 0, 0, 1, now + 10 * SECOND);
-        engine.ended(fetched.get(0), Outcome.SERVED, bytes("r"), null);
+        engine.ended(attempted.get(0), Outcome.SERVED, bytes("r"), null);
         assertEquals(List.of("0 SERVED true"), told);
         assertEquals(1, metrics.get(Count.EXCEPTIONS));
     }
 
     @Test void theFirstResultIsTheAnswerAndTheOthersAreStillTold() {
         take(this::sendTwo);
-        engine.started(fetched.get(0));
-        engine.ended(fetched.get(1), Outcome.SERVED, bytes("r"), null);
-        engine.ended(fetched.get(0), Outcome.SERVED, bytes("other"), null);
+        engine.started(attempted.get(0));
+        engine.ended(attempted.get(1), Outcome.SERVED, bytes("r"), null);
+        engine.ended(attempted.get(0), Outcome.SERVED, bytes("other"), null);
         assertEquals(List.of("served r"), answers);
         assertEquals(List.of("started 0", "1 SERVED true", "0 SERVED true"), told);
         assertEquals(0, engine.open());
     }
 
-    @Test void aCancelledFetchIsToldAfterTheEventThatCancelledIt() {
+    @Test void aCancelledAttemptIsToldAfterTheEventThatCancelledIt() {
         take(this::sendTwo);
         onOutcome = () -> {
             onOutcome = () -> { };
             engine.cancel(job, 1);
             told.add("end of event");
         };
-        engine.ended(fetched.get(0), Outcome.ERROR, null, null);
+        engine.ended(attempted.get(0), Outcome.ERROR, null, null);
         assertEquals(List.of("0 ERROR false", "end of event", "1 CANCELLED false"), told);
-        assertEquals(List.of(fetched.get(1)), aborted);
-        engine.ended(fetched.get(1), Outcome.SERVED, bytes("late"), null);
+        assertEquals(List.of(attempted.get(1)), aborted);
+        engine.ended(attempted.get(1), Outcome.SERVED, bytes("late"), null);
         assertEquals(List.of(), answers);
         assertEquals(1, metrics.get(Count.LATE_EVENTS));
     }
 
-    @Test void tooManyFetchesAreMoot() {
+    @Test void tooManyAttemptsAreMoot() {
         take(() -> {
             sendTwo();
             engine.send(job, 3);
         });
         assertEquals(List.of("2 MOOT false"), told);
-        assertEquals(2, fetched.size());
+        assertEquals(2, attempted.size());
     }
 
-    @Test void aFetchTimesOutBeforeItsClientGivesUp() {
+    @Test void aAttemptTimesOutBeforeItsClientGivesUp() {
         take(() -> engine.send(job, 1));
         onOutcome = () -> engine.fail(job);
-        now += 10 * SECOND - Engine.FETCH_MARGIN - 1;
+        now += 10 * SECOND - Engine.ATTEMPT_MARGIN - 1;
         deadlines.runDue();
         assertEquals(List.of(), told);
         now++;
         deadlines.runDue();
         assertEquals(List.of("0 TIMED_OUT false"), told);
         assertEquals(List.of("failed true"), answers);
-        assertEquals(fetched, aborted);
+        assertEquals(attempted, aborted);
     }
 
-    @Test void aReqThatTheModuleForgetsIsFailedInTime() {
+    @Test void aRequestThatTheModuleForgetsIsFailedInTime() {
         take(() -> { });
         now += 10 * SECOND - Engine.ANSWER_MARGIN;
         deadlines.runDue();
@@ -223,7 +223,7 @@
         assertEquals(1, answers.size());
     }
 
-    @Test void anExceptionEndsItsReqWithAnAnswerAndNothingElse() {
+    @Test void anExceptionEndsItsRequestWithAnAnswerAndNothingElse() {
         take(() -> {
             throw new IllegalStateException("seen in a test");
         });
@@ -236,7 +236,7 @@
     @Test void aClientThatLeavesGetsNoAnswer() {
         take(() -> engine.send(job, 1));
         engine.askerGone(job);
-        engine.ended(fetched.get(0), Outcome.SERVED, bytes("r"), null);
+        engine.ended(attempted.get(0), Outcome.SERVED, bytes("r"), null);
         assertEquals(List.of("gone", "0 SERVED true"), told);
         assertEquals(List.of(), answers);
     }
--- a/src/test/java/badgermux/it/BadClientsIT.java
+++ b/src/test/java/badgermux/it/BadClientsIT.java
@@ -40,7 +40,7 @@
     }
 
     private void assertOthersAreServed(Program by) throws IOException, InterruptedException {
-        try (Client other = by.client().send(Client.req("/preview", "5000m", "", ""))) {
+        try (Client other = by.client().send(Client.request("/preview", "5000m", "", ""))) {
             Peer.Call call = backend.take();
             assertTrue(call.head.startsWith("POST /preview HTTP/1.1"), "something else came first: " + call.head);
             call.done("r");
@@ -101,7 +101,7 @@
     @Test void silentAndHalfSentRequestsEndInTime() throws IOException, InterruptedException {
         long before = System.nanoTime();
         Client half = program.client().send("POST /preview HTTP/1.1\r\nX-Requ");
-        Client cut = program.client().send(Client.req("/preview", "60000m", "", "abc").replace("abc", ""));
+        Client cut = program.client().send(Client.request("/preview", "60000m", "", "abc").replace("abc", ""));
         Client strange = program.client();
         assertEquals(200, strange.get("/healthz").status());
         assertTrue(client.isEnded(), "one that says nothing");
@@ -115,24 +115,24 @@
     }
 
     @Test void anIdInUseIsTurnedAwayAndFreeAgainAfterItsAnswer() throws IOException, InterruptedException {
-        String req = Client.req("/preview", "5000m", "", "");
-        client.send(req);
+        String request = Client.request("/preview", "5000m", "", "");
+        client.send(request);
         Peer.Call call = backend.take();
-        try (Client thief = program.client().send(req)) {
+        try (Client thief = program.client().send(request)) {
             assertEquals(409, thief.read().status());
             assertTrue(thief.isEnded());
         }
         call.done("mine");
         assertEquals("mine", client.read().body());
-        client.send(req);
+        client.send(request);
         backend.take().done("again");
         assertEquals("again", client.read().body());
         assertEquals(1, program.count("ids_in_use"));
     }
 
     @ParameterizedTest @ValueSource(strings = {"rubbish", "GET /\0", "POST /preview HTTP/1.1\r\nContent-Length: x\r\n\r\n"})
-    void rubbishBehindAnOpenReqIsRejectedBeforeItsAnswer(String behind) throws IOException, InterruptedException {
-        client.send(Client.req("/preview", "60000m", "", ""));
+    void rubbishBehindAnOpenRequestIsRejectedBeforeItsAnswer(String behind) throws IOException, InterruptedException {
+        client.send(Client.request("/preview", "60000m", "", ""));
         Peer.Call call = backend.take().accept();
         assertEquals(400, client.send(behind).read().status());
         assertTrue(client.isEnded());
@@ -141,7 +141,7 @@
     }
 
     @Test void oneWhoWouldWaitForEverMakesNobodyElseLate() throws IOException, InterruptedException {
-        client.send(Client.req("/preview", "3600000m", "", ""));
+        client.send(Client.request("/preview", "3600000m", "", ""));
         int told = Integer.parseInt(backend.take().header("X-Timeout").replace("m", ""));
         assertTrue(told <= 5000, "its class gives up sooner than " + told);
         client.close();
--- a/src/test/java/badgermux/it/Client.java
+++ b/src/test/java/badgermux/it/Client.java
@@ -24,8 +24,8 @@
         socket.setSoTimeout(Peer.PATIENCE_S * 1000);
     }
 
-    /** A req's text; its id is new. */
-    static String req(String path, String timeout, String moreHeaders, String body) {
+    /** A request's text; its id is new. */
+    static String request(String path, String timeout, String moreHeaders, String body) {
         return "POST " + path + " HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: " + id() + "\r\nX-Timeout: " + timeout
             + "\r\n" + moreHeaders + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
@@ -50,7 +50,7 @@
     }
 
     Answer ask(String path) throws IOException {
-        return send(req(path, "5000m", "", "b")).read();
+        return send(request(path, "5000m", "", "b")).read();
     }
 
     /** An admin call; {@code headers} are whole lines. */
--- a/src/test/java/badgermux/it/ContractIT.java
+++ b/src/test/java/badgermux/it/ContractIT.java
@@ -176,12 +176,12 @@
         }
     }
 
-    @Test void underTrafficEachReqIsJudgedByOneRevisionAndAnsweredOnce() throws Exception {
+    @Test void underTrafficEachRequestIsJudgedByOneRevisionAndAnsweredOnce() throws Exception {
         put("open", open(100));
-        int reqs = 200;
+        int requests = 200;
         List<Client> clients = new ArrayList<>();
         Map<String, Peer.Call> calls = new ConcurrentHashMap<>();
-        for (int i = 0; i < reqs; i++) {
+        for (int i = 0; i < requests; i++) {
             if (i % 20 == 10) {
                 // Half of the new descriptions can't be used, and change nothing.
                 Client.Answer answer = put("open", i % 40 == 10 ? open(100).replace("\"type\":\"object\"", "\"type\":\"oject\",\"pattern\":\"(?=a)\"")
@@ -190,7 +190,7 @@
             }
             Client client = program.client();
             clients.add(client);
-            client.send(Client.req("/preview/a", "5000m", JSON, "{\"pages\":" + (i < 30 ? 100 : 120) + "}"));
+            client.send(Client.request("/preview/a", "5000m", JSON, "{\"pages\":" + (i < 30 ? 100 : 120) + "}"));
             if (i < 30) {
                 Peer.Call call = backend.take().accept();
                 assertNull(calls.put(call.header("X-Request-ID"), call));
@@ -218,7 +218,7 @@
         answering.setDaemon(true);
         answering.start();
         int served = 0;
-        for (int i = 0; i < reqs; i++) {
+        for (int i = 0; i < requests; i++) {
             Client.Answer answer = clients.get(i).read();
             assertTrue(i < 30 ? answer.status() == 200 : answer.status() == 200 || answer.status() == 503, i + " " + answer.head());
             served += answer.status() == 200 ? 1 : 0;
@@ -232,25 +232,25 @@
         assertEquals(0, program.count("exceptions"));
     }
 
-    @Test void anAnswerOutOfOrderEndsItsFetchAsOneThatMayHaveRun() throws IOException, InterruptedException {
+    @Test void anAnswerOutOfOrderEndsItsAttemptAsOneThatMayHaveRun() throws IOException, InterruptedException {
         put("open", open(100));
         assertEquals(201, put("lines", LINES).status());
         try (Client client = program.client()) {
             // A class that may run once only: it fails, and runs no second time.
             for (String first : new String[] {"done", "running"}) {
-                client.send(Client.req("/pay", "5000m", "", ""));
+                client.send(Client.request("/pay", "5000m", "", ""));
                 Peer.Call call = backend.take().send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 call.line(first, ",\"result\":\"r\"");
                 assertEquals(500, client.read().status());
                 assertTrue(call.isEnded());
                 assertNull(backend.peek());
             }
-            client.send(Client.req("/pay", "5000m", "", ""));
+            client.send(Client.request("/pay", "5000m", "", ""));
             Peer.Call twice = backend.take().accept().line("running", "").line("started", "");
             assertEquals(500, client.read().status());
             assertTrue(twice.isEnded());
             // Cut anywhere, a line is judged when it is whole.
-            client.send(Client.req("/pay", "5000m", "", ""));
+            client.send(Client.request("/pay", "5000m", "", ""));
             Peer.Call cut = backend.take().accept();
             String line = "{\"id\":\"" + cut.header("X-Request-ID") + "\",\"state\":\"done\",\"result\":\"r\"}\n";
             for (char c : line.toCharArray()) {
@@ -259,7 +259,7 @@
             cut.end();
             assertEquals("r", client.read().body());
             // One that may be repeated is.
-            client.send(Client.req("/preview/a", "5000m", JSON, "{\"pages\":1}"));
+            client.send(Client.request("/preview/a", "5000m", JSON, "{\"pages\":1}"));
             backend.take().accept().line("started", "");
             backend.take().done("r");
             assertEquals(200, client.read().status());
@@ -267,14 +267,14 @@
         assertEquals(4, program.count("contract_lines_bad"));
     }
 
-    @Test void aResultThatDoesNotConformFailsAKeyedReqWithoutASecondRun() throws IOException, InterruptedException {
+    @Test void aResultThatDoesNotConformFailsAKeyedRequestWithoutASecondRun() throws IOException, InterruptedException {
         put("open", open(100));
         try (Client client = program.client()) {
-            client.send(Client.req("/publish", "5000m", "Idempotency-Key: k\r\n", ""));
+            client.send(Client.request("/publish", "5000m", "Idempotency-Key: k\r\n", ""));
             backend.take().done("no JSON");
             assertEquals(500, client.read().status());
             assertNull(backend.peek());
-            client.send(Client.req("/publish", "5000m", "Idempotency-Key: k2\r\n", ""));
+            client.send(Client.request("/publish", "5000m", "Idempotency-Key: k2\r\n", ""));
             backend.take().done("{\\\"url\\\":\\\"u\\\"}");
             assertEquals("{\"url\":\"u\"}", client.read().body());
         }
@@ -288,25 +288,25 @@
         assertEquals("\"1\"", put("open", open(100)).header("ETag"));
         serve("r");
         try (Client client = program.client()) {
-            assertEquals(200, client.send(Client.req("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
+            assertEquals(200, client.send(Client.request("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
             Client.Answer dry = call("PUT", "/v1/contracts/open?dry-run=true", "", open(10));
             assertTrue(dry.body().contains("maximum is now 10") && dry.body().contains("\"newlyRefused\": 1"), dry.body());
-            assertEquals(200, client.send(Client.req("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
+            assertEquals(200, client.send(Client.request("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
             assertEquals(428, call("PUT", "/v1/contracts/open", "", open(10)).status());
             assertEquals(412, call("PUT", "/v1/contracts/open", "If-Match: \"9\"\r\n", open(10)).status());
             assertEquals(200, call("PUT", "/v1/contracts/open", "If-Match: \"1\"\r\n", open(10)).status());
-            assertEquals(422, client.send(Client.req("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
-            assertEquals(404, client.send(Client.req("/preview/a/b", "5000m", JSON, "{}")).read().status());
+            assertEquals(422, client.send(Client.request("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
+            assertEquals(404, client.send(Client.request("/preview/a/b", "5000m", JSON, "{}")).read().status());
             assertEquals(200, call("PUT", "/v1/contracts", "", "{\"undescribed\":\"pass\"}").status());
-            assertEquals(200, client.send(Client.req("/preview/a/b", "5000m", JSON, "{}")).read().status());
+            assertEquals(200, client.send(Client.request("/preview/a/b", "5000m", JSON, "{}")).read().status());
         }
         program.close();
         program = new Program(folder, member("s-1", backend, "east", "SERVING"), "--snapshot " + folder.resolve("s.json"));
         try (Client client = program.client()) {
-            assertEquals(422, client.send(Client.req("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
-            assertEquals(200, client.send(Client.req("/preview/a/b", "5000m", JSON, "{}")).read().status());
+            assertEquals(422, client.send(Client.request("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
+            assertEquals(200, client.send(Client.request("/preview/a/b", "5000m", JSON, "{}")).read().status());
             assertEquals(200, call("DELETE", "/v1/contracts/open", "If-Match: \"2\"\r\n", "").status());
-            assertEquals(200, client.send(Client.req("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
+            assertEquals(200, client.send(Client.request("/preview/a", "5000m", JSON, "{\"pages\":50}")).read().status());
         }
     }
 
@@ -337,7 +337,7 @@
                 told += line.contains("can't be written") ? 1 : 0;
             }
             assertEquals(1, told);
-            assertEquals(422, client.send(Client.req("/preview/a", "5000m", JSON, "{\"pages\":70}")).read().status());
+            assertEquals(422, client.send(Client.request("/preview/a", "5000m", JSON, "{\"pages\":70}")).read().status());
         }
     }
 
--- a/src/test/java/badgermux/it/DirectorIT.java
+++ b/src/test/java/badgermux/it/DirectorIT.java
@@ -40,7 +40,7 @@
 
     private void servedBy(Peer at) throws IOException, InterruptedException {
         try (Client client = program.client()) {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             at.take().done("r");
             assertEquals(200, client.read().status());
         }
@@ -162,7 +162,7 @@
             Peer.Call again = pushed.director.take();
             assertTrue(again.head.startsWith("GET /v1/servers?since=2&"), again.head);
             for (int i = 0; i < 5; i++) {
-                client.send(Client.req("/preview", "5000m", "", ""));
+                client.send(Client.request("/preview", "5000m", "", ""));
                 other.take().done("r");
                 assertEquals(200, client.read().status());
             }
@@ -183,7 +183,7 @@
             assertEquals(1024, large.figure("cluster_size"));
             for (int i = 0; i < 100; i++) {
                 try (Client client = large.client()) {
-                    client.send(Client.req("/preview", "5000m", "", ""));
+                    client.send(Client.request("/preview", "5000m", "", ""));
                     backend.take().done("r");
                     assertEquals(200, client.read().status());
                 }
@@ -203,7 +203,7 @@
         String probing = Program.SETTINGS.replace("\"silent\"", "\"pull\"").replace("\"Cancel\"", "\"Probes\":true,\"Cancel\"");
         try (Program small = new Program(folder, members(200, backend), 128, probing); Client client = small.client()) {
             for (int i = 0; i < 60; i++) {
-                client.send(Client.req("/preview", "5000m", "", ""));
+                client.send(Client.request("/preview", "5000m", "", ""));
                 Peer.Call call = backend.take();
                 while (call.head.startsWith("GET")) {
                     call.reply("200 OK", "TEXT x0=2, x1=2, recent_ms=0, throughput=0");
--- a/src/test/java/badgermux/it/HardDaysIT.java
+++ b/src/test/java/badgermux/it/HardDaysIT.java
@@ -32,24 +32,24 @@
         backend.close();
     }
 
-    /** Sends a req in pieces, with a pause behind each. */
-    private static void slowly(Client client, String req, int pieces, int millis) throws IOException, InterruptedException {
-        int size = (req.length() + pieces - 1) / pieces;
-        for (int at = 0; at < req.length(); at += size) {
-            client.send(req.substring(at, Math.min(req.length(), at + size)));
+    /** Sends a request in pieces, with a pause behind each. */
+    private static void slowly(Client client, String request, int pieces, int millis) throws IOException, InterruptedException {
+        int size = (request.length() + pieces - 1) / pieces;
+        for (int at = 0; at < request.length(); at += size) {
+            client.send(request.substring(at, Math.min(request.length(), at + size)));
             TimeUnit.MILLISECONDS.sleep(millis);
         }
     }
 
-    @Test void aReqThatComesOverMoreThanTwoSecondsIsServed() throws IOException, InterruptedException {
+    @Test void aRequestThatComesOverMoreThanTwoSecondsIsServed() throws IOException, InterruptedException {
         try (Client client = program.client()) {
-            slowly(client, Client.req("/preview", "5000m", "", "body"), 9, 290);
+            slowly(client, Client.request("/preview", "5000m", "", "body"), 9, 290);
             backend.take().done("r");
             assertEquals(200, client.read().status());
         }
     }
 
-    @Test void halfAReqIsToldSoAfterTwoSecondsOfSilence() throws IOException {
+    @Test void halfARequestIsToldSoAfterTwoSecondsOfSilence() throws IOException {
         try (Client client = program.client()) {
             long before = System.nanoTime();
             client.send("POST /preview HTTP/1.1\r\nHost: x\r\n");
@@ -58,7 +58,7 @@
         }
     }
 
-    @Test void aReqThatComesBitByBitForEverEndsInTime() throws IOException, InterruptedException {
+    @Test void aRequestThatComesBitByBitForEverEndsInTime() throws IOException, InterruptedException {
         try (Client client = program.client()) {
             long before = System.nanoTime();
             client.send("POST /preview HTTP/1.1\r\nX-A: ");
@@ -96,7 +96,7 @@
         drip.start();
         try (Client client = program.client()) {
             long before = System.nanoTime();
-            client.send(Client.req("/preview", "9000m", "", ""));
+            client.send(Client.request("/preview", "9000m", "", ""));
             backend.take().done("r");
             assertEquals(200, client.read().status());
             assertTrue(System.nanoTime() - before < 5_000_000_000L, "after the 3 s that they are let be");
@@ -113,19 +113,19 @@
     @Test void aCrowdOfSilentAndHalfWrittenConnectionsKeepsNobodyOut() throws IOException, InterruptedException {
         List<Client> crowd = new ArrayList<>();
         try (Client slow = program.client()) {
-            String req = Client.req("/preview", "5000m", "", "body");
+            String request = Client.request("/preview", "5000m", "", "body");
             for (int i = 0; i < 500; i++) {
                 crowd.add(program.client());
                 if (i % 2 == 0) {
                     crowd.get(i).send("POST /preview HTTP/1.1\r\nHost: x\r\nX-Req");
                 }
                 if (i % 50 == 0) {
-                    slow.send(req.substring(i / 50 * (req.length() - 1) / 10, (i / 50 + 1) * (req.length() - 1) / 10));
+                    slow.send(request.substring(i / 50 * (request.length() - 1) / 10, (i / 50 + 1) * (request.length() - 1) / 10));
                 }
                 if (i % 100 == 99) {
                     long before = System.nanoTime();
                     try (Client client = program.client()) {
-                        client.send(Client.req("/preview", "5000m", "", ""));
+                        client.send(Client.request("/preview", "5000m", "", ""));
                         backend.take().done("r");
                         assertEquals(200, client.read().status());
                     }
@@ -133,7 +133,7 @@
                     assertEquals("200 ready\n", program.call("HEALTH"));
                 }
             }
-            slow.send(req.substring(req.length() - 1));
+            slow.send(request.substring(request.length() - 1));
             backend.take().done("slow");
             assertEquals("slow", slow.read().body());
         }
--- a/src/test/java/badgermux/it/LearntIT.java
+++ b/src/test/java/badgermux/it/LearntIT.java
@@ -33,7 +33,7 @@
 
     private static void serve(Program program, Peer backend) throws IOException, InterruptedException {
         try (Client client = program.client()) {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             backend.take().done("r");
             assertEquals(200, client.read().status());
         }
@@ -60,7 +60,7 @@
         }
         // Killed, it has kept nothing, or what it had learnt but not what it sent.
         try (Program next = start(backend, true); Client client = next.client()) {
-            client.send(Client.req("/preview", "1000m", "", ""));
+            client.send(Client.request("/preview", "1000m", "", ""));
             assertEquals(503, client.read().status());
             assertNull(backend.peek());
         }
--- a/src/test/java/badgermux/it/OnCallIT.java
+++ b/src/test/java/badgermux/it/OnCallIT.java
@@ -46,12 +46,12 @@
         two.close();
     }
 
-    /** Serves reqs one after another; how many of them came to the first backend. */
-    private int servedByOne(int reqs) throws IOException, InterruptedException {
+    /** Serves requests one after another; how many of them came to the first backend. */
+    private int servedByOne(int requests) throws IOException, InterruptedException {
         int came = 0;
         try (Client client = program.client()) {
-            for (int i = 0; i < reqs; i++) {
-                client.send(Client.req("/preview", "5000m", "", ""));
+            for (int i = 0; i < requests; i++) {
+                client.send(Client.request("/preview", "5000m", "", ""));
                 Peer.Call call = Await.next(one, two);
                 came += call.from == one ? 1 : 0;
                 call.done("r");
@@ -173,33 +173,33 @@
         Client leaver = program.client();
         try (Client client = program.client(); Client bad = program.client()) {
             for (int i = 0; i < 3; i++) {       // served
-                client.send(Client.req("/preview", "5000m", "", ""));
+                client.send(Client.request("/preview", "5000m", "", ""));
                 two.take().done("r");
                 sends++;
                 assertEquals(200, client.read().status());
             }
-            client.send(Client.req("/preview", "5000m", "", ""));   // handed back, then served
+            client.send(Client.request("/preview", "5000m", "", ""));   // handed back, then served
             two.take().reply("503 Busy\r\nX-Not-Processed: 1", "");
             two.take().done("r");
             sends += 2;
             assertEquals(200, client.read().status());
-            client.send(Client.req("/pay", "5000m", "", ""));   // failed: it may have run
+            client.send(Client.request("/pay", "5000m", "", ""));   // failed: it may have run
             two.take().reply("500 Error", "");
             sends++;
             assertEquals(500, client.read().status());
-            client.send(Client.req("/pay", "1500m", "", ""));   // time runs out
+            client.send(Client.request("/pay", "1500m", "", ""));   // time runs out
             two.take();
             sends++;
             assertEquals(504, client.read().status());
-            leaver.send(Client.req("/pay", "5000m", "", ""));    // the client leaves
+            leaver.send(Client.request("/pay", "5000m", "", ""));    // the client leaves
             two.take();
             sends++;
             assertEquals(1, program.figure("current"));
             leaver.close();
-            bad.send("POST /preview HTTP/1.1\r\nHost: x\r\n\r\n");    // no req at all
+            bad.send("POST /preview HTTP/1.1\r\nHost: x\r\n\r\n");    // no request at all
             assertEquals(400, bad.read().status());
             program.call("OFFLINE s-2");
-            client.send(Client.req("/preview", "300m", "", ""));    // nobody may take it
+            client.send(Client.request("/preview", "300m", "", ""));    // nobody may take it
             int refused = client.read().status() == 503 ? 1 : 0;
             Await.until("all have ended", () -> program.figure("current") == 0);
             assertEquals(4, program.figure("transactions.preview.answered"));
@@ -220,7 +220,7 @@
         program = Program.onCall(folder, members("SERVING"), 256,
             Program.SETTINGS.replace("\"Cancel\"", "\"ParallelTries\":true,\"Cancel\""));
         try (Client client = program.client()) {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             Peer.Call first = Await.next(one, two);
             Await.next(one, two).done("copy");      // the first does not start, so a copy goes to the other
             assertEquals("copy", client.read().body());
@@ -233,7 +233,7 @@
 
     @Test void whatIsServedWhileItEndsIsCounted() throws IOException, InterruptedException {
         try (Client client = program.client()) {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             Peer.Call call = Await.next(one, two);
             program.process.toHandle().destroy();
             Await.until("the end", () -> program.call("HEALTH").startsWith("400 this process is ending"));
--- a/src/test/java/badgermux/it/RareEndsIT.java
+++ b/src/test/java/badgermux/it/RareEndsIT.java
@@ -43,12 +43,12 @@
     @Test void theLastAnswerComesTheSoonerTheShorterAllDeadlinesAre() throws IOException, InterruptedException {
         String settings = Program.SETTINGS.replace("5000", "2000").replace("4000", "1500");
         try (Program program = program(settings); Client fresh = program.client(); Client open = program.client()) {
-            open.send(Client.req("/preview", "2000m", "", ""));
+            open.send(Client.request("/preview", "2000m", "", ""));
             backend.take().accept();
             long term = System.nanoTime();
             program.process.toHandle().destroy();
             Await.until("a time shortly before the changeover is over", () -> millisSince(term) >= 400);
-            fresh.send(Client.req("/preview", "2000m", "", ""));
+            fresh.send(Client.request("/preview", "2000m", "", ""));
             backend.take().accept();
             assertEquals(503, open.read().status());
             assertEquals(503, fresh.read().status(), "asking again is harmless");
@@ -61,12 +61,12 @@
     @Test void whatComesBehindTheLastAnswerIsRefusedAndNotSentOn() throws IOException, InterruptedException {
         try (Program program = program(Program.SETTINGS)) {
             try (Client open = program.client()) {
-                open.send(Client.req("/preview", "5000m", "", ""));
+                open.send(Client.request("/preview", "5000m", "", ""));
                 backend.take().accept();
                 program.process.toHandle().destroy();
                 assertEquals(503, open.read().status());
                 try (Client late = program.client()) {
-                    assertEquals(503, late.send(Client.req("/preview", "5000m", "", "")).read().status());
+                    assertEquals(503, late.send(Client.request("/preview", "5000m", "", "")).read().status());
                 }
             }
             assertTrue(program.output().contains("badgermux_reqs_taken 1\n"));
@@ -93,10 +93,10 @@
             Peer.Call call;
             long before = System.nanoTime();
             try (Client client = program.client()) {
-                client.send(Client.req("/preview", "5000m", "", ""));
+                client.send(Client.request("/preview", "5000m", "", ""));
                 call = backend.take().accept();
                 for (int i = 0; i < 4; i++) {
-                    client.send(Client.req("/preview", "5000m", "", "x".repeat(60_000)));
+                    client.send(Client.request("/preview", "5000m", "", "x".repeat(60_000)));
                 }
             }
             assertTrue(call.isEnded(), "its attempt is given up");
@@ -109,7 +109,7 @@
     /** A second "not processed" had the next request on that connection sent again while its runner ran it. */
     @Test void anAnswerWithoutAnIdThatComesTwiceEndsNothingElse() throws IOException, InterruptedException {
         try (Program program = program(Program.SETTINGS); Client client = program.client()) {
-            client.send(Client.req("/pay", "5000m", "", ""));
+            client.send(Client.request("/pay", "5000m", "", ""));
             Peer.Call first = backend.take();
             first.reply("503 Busy\r\nX-Not-Processed: 1", "");
             Peer.Call second = backend.take();
@@ -135,7 +135,7 @@
             // The lines of a list come due half a second behind it: requests go on coming before, at and after that time.
             long listed = System.nanoTime();
             while (millisSince(listed) < 1_500) {
-                client.send(Client.req("/preview", "5000m", "", ""));
+                client.send(Client.request("/preview", "5000m", "", ""));
                 backend.take().done("r");
                 assertEquals(200, client.read().status());
             }
@@ -158,7 +158,7 @@
 
     @Test void aSecondSigtermChangesNothing() throws IOException, InterruptedException {
         try (Program program = program(Program.SETTINGS); Client client = program.client()) {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             Peer.Call call = backend.take().accept();
             for (int i = 0; i < 3; i++) {
                 new ProcessBuilder("kill", "-TERM", String.valueOf(program.process.pid())).start().waitFor();
--- a/src/test/java/badgermux/it/RareMomentsIT.java
+++ b/src/test/java/badgermux/it/RareMomentsIT.java
@@ -46,7 +46,7 @@
 
     /** A close over bytes that nobody has read is a reset, which takes the answer before it along. */
     @Test void anAnswerThatEndsItsConnectionIsReadWhateverWasSentInThatMoment() throws Exception {
-        client.send(Client.req("/preview", "5000m", "Connection: close\r\n", ""));
+        client.send(Client.request("/preview", "5000m", "Connection: close\r\n", ""));
         long job = parts.job();
         parts.held(() -> {
             client.send("x".repeat(10_000));
@@ -61,12 +61,12 @@
 
     /** A client that rests sends just as its connection is closed: it sees the end, and sends once more elsewhere. */
     @Test void aRequestThatCrossesTheCloseOfARestingConnectionIsNeitherServedNorReset() throws Exception {
-        client.send(Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", ""));
         long job = parts.job();
         parts.held(() -> parts.engine.refuse(job, 0));
         assertEquals(503, client.read().status());
         parts.held(() -> {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             parts.front.handOver();
         });
         assertEquals(1, parts.connections(), "it is heard out, not closed over what lies unread");
@@ -173,11 +173,11 @@
 
     /** What a client sends ahead stays within a bound, and who goes beyond is told so. */
     @Test void whoSendsTooMuchAheadIsToldSo() throws Exception {
-        client.send(Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", ""));
         parts.job();
         Thread flood = new Thread(() -> {
             try {
-                client.send(Client.req("/preview", "5000m", "", "") + "x".repeat(3 << 20));
+                client.send(Client.request("/preview", "5000m", "", "") + "x".repeat(3 << 20));
             } catch (IOException e) {
                 // it is cut off in the end
             }
--- a/src/test/java/badgermux/it/ReloadIT.java
+++ b/src/test/java/badgermux/it/ReloadIT.java
@@ -49,7 +49,7 @@
 
     @Test void theDirectorsNewAddressIsWatchedAtOnceAndNothingTakenIsLost() throws IOException, InterruptedException {
         Peer.Call old = program.director.take();
-        client.send(Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", ""));
         Peer.Call inFlight = backend.take().accept();
         moveDirector();
         Peer.Call watch = next.take();
@@ -60,7 +60,7 @@
         watch.reply("200 OK", "{\"revision\":2,\"complete\":false,\"members\":["
             + member("s-1", backend, "east", "DRAINING") + ',' + member("s-2", other, "east", "SERVING") + "]}");
         assertTrue(next.take().head.startsWith("GET /v1/servers?since=2&"));
-        try (Client second = program.client().send(Client.req("/preview", "5000m", "", ""))) {
+        try (Client second = program.client().send(Client.request("/preview", "5000m", "", ""))) {
             other.take().done("new");
             assertEquals("new", second.read().body());
         }
@@ -84,7 +84,7 @@
 
     @Test void oneMayFollowAnotherAndSigtermStillAnswersAll() throws IOException, InterruptedException {
         program.director.take();
-        client.send(Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", ""));
         Peer.Call call = backend.take().accept();
         moveDirector();
         Peer.Call watch = next.take();
--- a/src/test/java/badgermux/it/ServeIT.java
+++ b/src/test/java/badgermux/it/ServeIT.java
@@ -43,13 +43,13 @@
     }
 
     private void serveOne() throws IOException, InterruptedException {
-        client.send(Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", ""));
         backend.take().done("r");
         assertEquals(200, client.read().status());
     }
 
-    @Test void aReqGoesOnUnchangedAndItsResultComesBack() throws IOException, InterruptedException {
-        client.send(Client.req("/publish/a%20b?q=1&r=\u00e9", "3000m",
+    @Test void aRequestGoesOnUnchangedAndItsResultComesBack() throws IOException, InterruptedException {
+        client.send(Client.request("/publish/a%20b?q=1&r=\u00e9", "3000m",
             "Idempotency-Key: k9\r\nX-Unknown:  kept \u00e9 \r\nX-Attrs: slots=2\r\n", "body\0\u00e9"));
         Peer.Call call = backend.take();
         assertTrue(call.head.startsWith("POST /publish/a%20b?q=1&r=\u00e9 HTTP/1.1\r\n"), call.head);
@@ -74,21 +74,21 @@
     }
 
     @Test void theResultDoesNotWaitForTheResponsesEnd() throws IOException, InterruptedException {
-        client.send(Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", ""));
         Peer.Call call = backend.take().accept().line("done", ",\"result\":\"early\"");
         assertEquals("early", client.read().body());
         assertTrue(call.isEnded(), "a response that does not end is cut off");
     }
 
-    @Test void splitAndCoalescedReqsAreServedInOrder() throws IOException, InterruptedException {
-        for (char c : Client.req("/preview", "5000m", "", "xyz").toCharArray()) {
+    @Test void splitAndCoalescedRequestsAreServedInOrder() throws IOException, InterruptedException {
+        for (char c : Client.request("/preview", "5000m", "", "xyz").toCharArray()) {
             client.send(String.valueOf(c));
         }
         Peer.Call call = backend.take();
         assertEquals("xyz", call.body);
         call.done("1");
         assertEquals("1", client.read().body());
-        client.send(Client.req("/preview", "5000m", "", "") + Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", "") + Client.request("/preview", "5000m", "", ""));
         backend.take().done("2");
         assertEquals("2", client.read().body());
         backend.take().done("3");
@@ -97,7 +97,7 @@
 
     @ParameterizedTest @CsvSource({"failed, errors", "lost, resets"})
     void whatMayHaveRunIsNotSentAgain(String state, String what) throws IOException, InterruptedException {
-        client.send(Client.req("/pay", "5000m", "", ""));
+        client.send(Client.request("/pay", "5000m", "", ""));
         backend.take().accept().line(state, "").end();
         assertEquals(500, client.read().status(), what);
         assertNull(backend.peek());
@@ -105,8 +105,8 @@
 
     @ParameterizedTest @ValueSource(strings = {"500 Error", "503 Busy", "504 Late", "404 Unknown",
         "503 Busy\r\nX-Not-Processed: 0", "200 OK"})
-    void aStatusThatProvesNothingFailsAReqThatMayRunOnce(String status) throws IOException, InterruptedException {
-        client.send(Client.req("/pay", "5000m", "", ""));
+    void aStatusThatProvesNothingFailsARequestThatMayRunOnce(String status) throws IOException, InterruptedException {
+        client.send(Client.request("/pay", "5000m", "", ""));
         backend.take().reply(status, "");
         Client.Answer answer = client.read();
         assertEquals(500, answer.status());
@@ -116,15 +116,15 @@
 
     @Test void aBrokenPooledConnectionIsNoReasonToSendAgain() throws IOException, InterruptedException {
         serveOne();
-        client.send(Client.req("/pay", "5000m", "", ""));
+        client.send(Client.request("/pay", "5000m", "", ""));
         backend.take().reset();
         assertEquals(500, client.read().status());
         assertNull(backend.peek());
         assertEquals(1, program.count("fetches_reset"));
     }
 
-    @Test void aLineForAnotherReqReachesNoClient() throws IOException, InterruptedException {
-        client.send(Client.req("/pay", "5000m", "", ""));
+    @Test void aLineForAnotherRequestReachesNoClient() throws IOException, InterruptedException {
+        client.send(Client.request("/pay", "5000m", "", ""));
         backend.take().reply("200 OK", "{\"id\":\"other\",\"state\":\"done\",\"result\":\"wrong\"}\n");
         assertEquals(500, client.read().status());
     }
@@ -132,7 +132,7 @@
     @ParameterizedTest @ValueSource(strings = {"503 Busy\r\nX-Not-Processed: 1", "504 Late\r\nX-Not-Processed: 1"})
     void whatNeverRanIsTriedAgainThenRefusedWithAdvice(String status) throws IOException, InterruptedException {
         serveOne();
-        client.send(Client.req("/pay", "5000m", "", ""));
+        client.send(Client.request("/pay", "5000m", "", ""));
         for (int i = 0; i < 3; i++) {
             backend.take().reply(status, "");
         }
@@ -151,7 +151,7 @@
 
     @Test void aSilentBackendIsAnsweredForBeforeTheClientGivesUp() throws IOException, InterruptedException {
         long before = System.nanoTime();
-        client.send(Client.req("/pay", "500m", "", ""));
+        client.send(Client.request("/pay", "500m", "", ""));
         Peer.Call call = backend.take();
         assertEquals(504, client.read().status());
         // EngineTest has the deadline to the microsecond; a busy machine may delay this one.
@@ -159,8 +159,8 @@
         assertTrue(call.isEnded());
     }
 
-    @Test void aClientThatLeavesTakesItsFetchAlong() throws IOException, InterruptedException {
-        client.send(Client.req("/preview", "5000m", "", ""));
+    @Test void aClientThatLeavesTakesItsAttemptAlong() throws IOException, InterruptedException {
+        client.send(Client.request("/preview", "5000m", "", ""));
         Peer.Call call = backend.take().accept();
         client.close();
         assertTrue(call.isEnded());
@@ -176,7 +176,7 @@
             + member("s-1", backend, "east", "DRAINING") + ',' + member("s-2", other, "east", "SERVING") + "]}");
         assertTrue(program.director.take().head.startsWith("GET /v1/servers?since=2&"));
         for (int i = 0; i < 5; i++) {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             other.take().done("other");
             assertEquals("other", client.read().body());
         }
@@ -195,13 +195,13 @@
         assertEquals(3, program.count("director_failures"));
     }
 
-    @Test void aKeyedReqThatMayHaveRunStaysInItsZoneWithItsKey() throws IOException, InterruptedException {
+    @Test void aKeyedRequestThatMayHaveRunStaysInItsZoneWithItsKey() throws IOException, InterruptedException {
         Peer west = new Peer();
         program.director.take().reply("200 OK", "{\"revision\":2,\"complete\":false,\"members\":["
             + member("s-2", west, "west", "SERVING") + "]}");
         program.director.take();
         for (int i = 0; i < 4; i++) {
-            client.send(Client.req("/publish?x=1", "5000m", "Idempotency-Key: key-" + i + "\r\n", "text"));
+            client.send(Client.request("/publish?x=1", "5000m", "Idempotency-Key: key-" + i + "\r\n", "text"));
             Peer.Call first = null;
             Peer at = null;
             while (first == null) {
@@ -222,7 +222,7 @@
 
     @Test void aBodyOfTheFullLengthGoesThrough() throws IOException, InterruptedException {
         String body = "x".repeat(65_536);
-        client.send(Client.req("/preview", "5000m", "", body));
+        client.send(Client.request("/preview", "5000m", "", body));
         Peer.Call call = backend.take();
         assertEquals(body, call.body);
         call.done("y".repeat(60_000));
@@ -232,12 +232,12 @@
     @Test void onSigtermAllThatWasTakenIsAnswered() throws IOException, InterruptedException {
         Client resting = program.client();
         assertEquals(200, resting.get("/healthz").status());
-        client.send(Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", ""));
         Peer.Call inFlight = backend.take();
         program.process.toHandle().destroy();   // Process.destroy would close its output, too
         assertTrue(resting.isEnded(), "connections between reqs are closed");
         Client during = program.client();
-        during.send(Client.req("/preview", "5000m", "", ""));
+        during.send(Client.request("/preview", "5000m", "", ""));
         backend.take().done("during");
         Client.Answer answer = during.read();
         assertEquals("during", answer.body());
@@ -258,7 +258,7 @@
                 Thread.onSpinWait();
             }
         }
-        client.send(Client.req("/preview", "5000m", "", ""));
+        client.send(Client.request("/preview", "5000m", "", ""));
         Peer.Call call = backend.take();
         call.done("kept");
         Client.Answer answer = client.read();
@@ -266,17 +266,17 @@
         assertEquals("close", answer.header("Connection"));
     }
 
-    @Test void overTheCapRestingConnectionsGoFirstAndReqsGetAnAnswer() throws IOException, InterruptedException {
+    @Test void overTheCapRestingConnectionsGoFirstAndRequestsGetAnAnswer() throws IOException, InterruptedException {
         int cap = 46;   // what 128 descriptors leave for clients
         try (Program small = new Program(folder, member("s-1", backend, "east", "SERVING"), 128, Program.SETTINGS)) {
-            Client resting = small.client().send(Client.req("/preview", "5000m", "", ""));
+            Client resting = small.client().send(Client.request("/preview", "5000m", "", ""));
             backend.take().done("r");
             assertEquals(200, resting.read().status());
             small.director.take().reply("200 OK", "{\"revision\":2,\"complete\":true,\"members\":[]}");
             small.director.take();
             List<Client> clients = new ArrayList<>();
             for (int i = 0; i < cap; i++) {     // without a backend the module holds them
-                clients.add(small.client().send(Client.req("/preview", "5000m", "", "")));
+                clients.add(small.client().send(Client.request("/preview", "5000m", "", "")));
             }
             assertTrue(resting.isEnded(), "the one that rests is closed");
             while (small.count("current") < cap) {
@@ -289,8 +289,8 @@
         }
     }
 
-    @Test void aReqThatBackendsCantUseFailsAndTheyStayInUse() throws IOException, InterruptedException {
-        client.send(Client.req("/preview", "5000m", "", ""));
+    @Test void aRequestThatBackendsCantUseFailsAndTheyStayInUse() throws IOException, InterruptedException {
+        client.send(Client.request("/preview", "5000m", "", ""));
         backend.take().reply("400 Bad", "");
         backend.take().reply("400 Bad", "");
         assertEquals(500, client.read().status());
@@ -305,14 +305,14 @@
             List<Client> clients = new ArrayList<>();
             List<Peer.Call> calls = new ArrayList<>();
             for (int i = 0; i < spared; i++) {
-                clients.add(small.client().send(Client.req("/preview", "5000m", "", "")));
+                clients.add(small.client().send(Client.request("/preview", "5000m", "", "")));
                 calls.add(backend.take());
             }
             assertEquals(503, small.client().ask("/pay").status());
             assertEquals(0, small.count("fetches_connect_failed"));
             calls.get(0).done("r");
             assertEquals(200, clients.get(0).read().status());
-            clients.get(0).send(Client.req("/preview", "5000m", "", ""));
+            clients.get(0).send(Client.request("/preview", "5000m", "", ""));
             backend.take().done("again");
             assertEquals("again", clients.get(0).read().body());
         }
@@ -323,7 +323,7 @@
             .replace("\"Cancel\"", "\"Probes\":true,\"Cancel\"");
         try (Program asking = new Program(folder, member("s-1", backend, "east", "SERVING"), 1024, probing);
                 Client asker = asking.client()) {
-            asker.send(Client.req("/pay", "5000m", "", ""));
+            asker.send(Client.request("/pay", "5000m", "", ""));
             Peer.Call probe = backend.take();
             assertTrue(probe.head.startsWith("GET /load HTTP/1.1\r\n"), probe.head);
             assertNull(backend.peek(), "the req waits for the report");
@@ -331,30 +331,30 @@
             backend.take().done("1");
             assertEquals("1", asker.read().body());
             assertEquals(1, asking.count("backend_connects"), "the probe's connection serves the req");
-            asker.send(Client.req("/pay", "5000m", "", ""));
+            asker.send(Client.request("/pay", "5000m", "", ""));
             Peer.Call next = backend.take();
             while (!next.head.startsWith("GET /load")) {    // within a tenth of a second the report is new enough
                 next.done("2");
                 assertEquals("2", asker.read().body());
-                asker.send(Client.req("/pay", "5000m", "", ""));
+                asker.send(Client.request("/pay", "5000m", "", ""));
                 next = backend.take();
             }
-            Peer.Call fetch = backend.take();
-            while (!fetch.head.startsWith("POST")) {    // it is probed again when the req goes
-                fetch = backend.take();
+            Peer.Call attempt = backend.take();
+            while (!attempt.head.startsWith("POST")) {    // it is probed again when the request goes
+                attempt = backend.take();
             }
             assertTrue(next.isEnded(), "a silent probe is given up");
-            fetch.done("3");
+            attempt.done("3");
             assertEquals("3", asker.read().body());
             assertEquals(1, asking.count("probes_answered"));
         }
     }
 
     @Test void anAnswerBeyondTheBoundsIsAReset() throws IOException, InterruptedException {
-        client.send(Client.req("/pay", "5000m", "", ""));
+        client.send(Client.request("/pay", "5000m", "", ""));
         backend.take().send("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n");
         assertEquals(500, client.read().status());
-        client.send(Client.req("/pay", "5000m", "", ""));
+        client.send(Client.request("/pay", "5000m", "", ""));
         backend.take().send("HTTP/1.1 200 OK\r\nA: " + "x".repeat(20_000));
         assertEquals(500, client.read().status());
         assertEquals(2, program.count("fetches_reset"));
@@ -365,13 +365,13 @@
         List<Peer.Call> calls = new ArrayList<>();
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < 96 / 16 * 16; i++) {
-            clients.add(program.client().send(Client.req("/preview", "5000m", "", body)));
+            clients.add(program.client().send(Client.request("/preview", "5000m", "", body)));
             calls.add(backend.take());
         }
-        assertEquals(503, client.send(Client.req("/preview", "5000m", "", body)).read().status());
+        assertEquals(503, client.send(Client.request("/preview", "5000m", "", body)).read().status());
         calls.get(0).done("r");
         assertEquals(200, clients.get(0).read().status());
-        client.send(Client.req("/preview", "5000m", "", body));
+        client.send(Client.request("/preview", "5000m", "", body));
         backend.take().done("r");
         assertEquals(200, client.read().status());
         assertEquals(1, program.count("bodies_over_cap"));
@@ -384,7 +384,7 @@
         String body = "x".repeat(60_000);
         StringBuilder all = new StringBuilder();
         for (int i = 0; i < 8; i++) {
-            all.append(Client.req("/preview?" + i, "5000m", "", body));
+            all.append(Client.request("/preview?" + i, "5000m", "", body));
         }
         client.send(all.toString());
         for (int i = 0; i < 8; i++) {
@@ -399,7 +399,7 @@
         serveOne();
         program.director.take().reply("200 OK", "{\"revision\":2,\"complete\":true,\"members\":[]}");
         Peer.Call watch = program.director.take();
-        client.send(Client.req("/pay", "5000m", "", ""));
+        client.send(Client.request("/pay", "5000m", "", ""));
         watch.reply("200 OK", "{\"revision\":3,\"complete\":false,\"members\":[null,"
             + member("s-8", backend, "nowhere", "SERVING") + ',' + member("s-9", backend, "east", "ODD") + ','
             + member("s-1", backend, "east", "SERVING") + "]}");
@@ -439,9 +439,9 @@
     /** SIGKILL follows 3.7 s behind SIGTERM: whoever would be cut off by it is told what is known of the job. */
     @Test void whoWouldBeCutOffAtTheEndIsAnsweredBefore() throws IOException, InterruptedException {
         try (Client pays = program.client()) {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             backend.take().accept();
-            pays.send(Client.req("/pay", "5000m", "", ""));
+            pays.send(Client.request("/pay", "5000m", "", ""));
             backend.take().accept();
             long before = System.nanoTime();
             program.process.toHandle().destroy();
--- a/src/test/java/badgermux/it/SettingsIT.java
+++ b/src/test/java/badgermux/it/SettingsIT.java
@@ -24,14 +24,14 @@
         String runner = member("s-1", backend, "reef, east", "SERVING").replace("\"k\"", "\"quad 4\"");
         try (Program program = new Program(folder, runner, 1024, settings); Client client = program.client()) {
             for (String path : new String[] {"/photo%20set/7", "/photo_set"}) {
-                client.send(Client.req(path, "5000m", "X-Priority-Class: photo set\r\n", ""));
+                client.send(Client.request(path, "5000m", "X-Priority-Class: photo set\r\n", ""));
                 Peer.Call call = backend.take();
                 assertTrue(call.head.startsWith("POST " + path + " HTTP/1.1\r\n"), call.head);
                 call.done("r");
                 assertEquals(200, client.read().status());
             }
             assertEquals(0, program.count("director_entries_skipped"));
-            assertEquals(400, client.send(Client.req("/photo%zz", "5000m", "", "")).read().status());
+            assertEquals(400, client.send(Client.request("/photo%zz", "5000m", "", "")).read().status());
         }
         backend.close();
     }
@@ -40,7 +40,7 @@
         Peer backend = new Peer();
         try (Program program = Program.in(folder, member("s-1", backend, "east", "SERVING"), settings)) {
             try (Client client = program.client()) {
-                client.send(Client.req("/preview", "5000m", "", ""));
+                client.send(Client.request("/preview", "5000m", "", ""));
                 backend.take().done("r");
                 assertEquals(200, client.read().status());
             }
--- a/src/test/java/badgermux/it/TenantsIT.java
+++ b/src/test/java/badgermux/it/TenantsIT.java
@@ -28,10 +28,10 @@
     }
 
     private static String of(String tenant) {
-        return Client.req("/preview", "5000m", tenant.isEmpty() ? "" : "X-Tenant-Id: " + tenant + "\r\n", "");
+        return Client.request("/preview", "5000m", tenant.isEmpty() ? "" : "X-Tenant-Id: " + tenant + "\r\n", "");
     }
 
-    /** All reqs counted for the first tenant: what was beyond its share was held, whoever had sent it. */
+    /** All requests counted for the first tenant: what was beyond its share was held, whoever had sent it. */
     @Test void aTenantInsideItsShareIsServedWhileAnotherIsBeyondItsOwn() throws IOException, InterruptedException {
         Peer backend = new Peer();
         try (Program program = new Program(folder, member("s-1", backend, "east", "SERVING"), 1024, settings());
--- a/src/test/java/badgermux/it/UpgradeIT.java
+++ b/src/test/java/badgermux/it/UpgradeIT.java
@@ -80,7 +80,7 @@
         });
     }
 
-    /** Steady load on connections that are kept: how many reqs were sent, and how many of them were answered 200. */
+    /** Steady load on connections that are kept: how many requests were sent, and how many of them were answered 200. */
     private final class Load {
         final AtomicInteger sent = new AtomicInteger();
         final AtomicInteger served = new AtomicInteger();
@@ -94,20 +94,20 @@
                     Client client = holder.client();
                     while (!ended.get()) {
                         sent.incrementAndGet();
-                        String req = Client.req("/publish", "5000m", "Idempotency-Key: " + Client.id() + "\r\n", "");
-                        client = ask(client, req);
+                        String request = Client.request("/publish", "5000m", "Idempotency-Key: " + Client.id() + "\r\n", "");
+                        client = ask(client, request);
                     }
                     client.close();
                 });
             }
         }
 
-        /** As the protocol has it: a close that crosses a req, on a connection that was used before, is no answer. */
-        private Client ask(Client on, String req) throws IOException {
+        /** As the protocol has it: a close that crosses a request, on a connection that was used before, is no answer. */
+        private Client ask(Client on, String request) throws IOException {
             Client client = on;
             for (boolean again = true; ; again = false) {
                 try {
-                    Client.Answer answer = client.send(req).read();
+                    Client.Answer answer = client.send(request).read();
                     served.addAndGet(answer.status() == 200 ? 1 : 0);
                     if ("close".equals(answer.header("Connection"))) {
                         client.close();
@@ -137,7 +137,7 @@
         }
     }
 
-    @Test void underLoadEachReqHasOneAnswerAndNoneIsTurnedBack() throws IOException, InterruptedException {
+    @Test void underLoadEachRequestHasOneAnswerAndNoneIsTurnedBack() throws IOException, InterruptedException {
         serve(one, 3);
         serve(two, 3);
         Holder.Run old = holder.start();
@@ -166,16 +166,16 @@
         old.awaitsReady();
         old.call("OFFLINE s-2");
         try (Client client = holder.client(); Client resting = holder.client()) {
-            resting.send(Client.req("/preview", "5000m", "", ""));
+            resting.send(Client.request("/preview", "5000m", "", ""));
             one.take().done("r");
             assertEquals(200, resting.read().status());
-            client.send(Client.req("/pay", "5000m", "", ""));
+            client.send(Client.request("/pay", "5000m", "", ""));
             Peer.Call call = one.take();
             Holder.Run next = holder.start();
             assertTrue(resting.isEnded(), "an idle client is sent to the next process");
             assertTrue(next.call("HEALTH").startsWith("400 serving, but"), "the old one has a job");
             try (Client other = holder.client()) {
-                other.send(Client.req("/preview", "5000m", "", ""));
+                other.send(Client.request("/preview", "5000m", "", ""));
                 one.take().done("by the next");
                 assertEquals("by the next", other.read().body());
             }
@@ -277,7 +277,7 @@
         old.signal("TERM");
         old.join();
         try (Client client = holder.client()) {
-            client.send(Client.req("/preview", "5000m", "", ""));
+            client.send(Client.request("/preview", "5000m", "", ""));
             holder.start();
             Peer.Call call = Await.next(one, two);
             call.done("by the next");
@@ -297,7 +297,7 @@
         assertEquals(1, next.figure("cluster_unhealthy"));
         try (Client client = holder.client()) {
             for (int i = 0; i < 10; i++) {
-                client.send(Client.req("/preview", "5000m", "", ""));
+                client.send(Client.request("/preview", "5000m", "", ""));
                 Peer.Call call = Await.next(one, two);
                 assertEquals(two, call.from);
                 call.done("r");
--- a/src/test/java/badgermux/it/ZonesIT.java
+++ b/src/test/java/badgermux/it/ZonesIT.java
@@ -112,7 +112,7 @@
             for (int round = 0; !stands(view, "east", "dark"); round++) {
                 assertTrue(round < 2_000, view);
                 for (int i = 0; i < 5; i++) {
-                    int status = client.send(Client.req("/preview", "5000m", "", "")).read().status();
+                    int status = client.send(Client.request("/preview", "5000m", "", "")).read().status();
                     assertTrue(status == 200 || status == 503, "status " + status);
                     done += status == 200 ? 1 : 0;
                     answers++;
@@ -121,7 +121,7 @@
             }
             // A keyed job goes out once, wherever its zone stands.
             for (int i = 0; i < 20; i++) {
-                int status = client.send(Client.req("/publish", "5000m", "Idempotency-Key: k" + i + "\r\n", "")).read().status();
+                int status = client.send(Client.request("/publish", "5000m", "Idempotency-Key: k" + i + "\r\n", "")).read().status();
                 assertTrue(status == 200 || status == 503, "status " + status);
                 done += status == 200 ? 1 : 0;
                 answers++;
@@ -137,7 +137,7 @@
             boolean returning = false;
             for (int round = 0; !stands(view, "east", "whole"); round++) {
                 assertTrue(round < 30_000, view);
-                int status = client.send(Client.req("/preview", "5000m", "", "")).read().status();
+                int status = client.send(Client.request("/preview", "5000m", "", "")).read().status();
                 assertTrue(status == 200 || status == 503, "status " + status);
                 done += status == 200 ? 1 : 0;
                 view = view();
