End an attempt at once whose connection can't be opened for want of a descriptor

Seen in a probe on the real jar, with the limit of descriptors set down to what it held: the attempt waited until its time was over (503 after 4.0 s of 5 s). Bootstrap.connect hands back a channel that was never opened; ClientConnection.close called its close(), which throws 'not registered to an event loop', and neither onClose nor the exchange was told: the connection counted for ever, and 20 such would have left none to open. Room keeps us below what we are told; a platform that gives less, or files of others, meet this.

Changed: what was never opened is not closed, and Backends answers as where all connections are busy, which blames no runner. Rejected: to have the exchange broken, as the module then sets the runner aside.

--- a/src/main/java/badgermux/backend/Backends.java
+++ b/src/main/java/badgermux/backend/Backends.java
@@ -210,6 +210,11 @@
         Pooled pooled = new Pooled(backend);
         pooled.connection = new ClientConnection(loop, deadlines, backend.address, connectTimeout,
             MessageReader.MAX_BODY, () -> closed(pooled));
+        // Guards against a backend set aside because the platform has no descriptor left for us.
+        if (!pooled.connection.isOpened()) {
+            metrics.add(Count.BACKEND_CONNECTIONS_OVER_CAP);
+            return null;
+        }
         return pooled;
     }
 
--- a/src/main/java/badgermux/http/ClientConnection.java
+++ b/src/main/java/badgermux/http/ClientConnection.java
@@ -106,6 +106,11 @@
         }
     }
 
+    /** Whether there was a descriptor for it; if not, {@code onClose} is run soon, as for one that does not come up. */
+    public boolean isOpened() {
+        return channel.isOpen();
+    }
+
     public boolean isReusable() {
         return reusable && !closed && exchange == null;
     }
@@ -123,7 +128,10 @@
         }
         closed = true;
         deadlines.cancel(connectLimit);
-        channel.close();
+        // Guards against an exception in place of all that follows: what was never opened can't be closed.
+        if (isOpened()) {
+            channel.close();
+        }
         onClose.run();
         breakOff();
     }
--- a/src/test/java/badgermux/it/RareEndsIT.java
+++ b/src/test/java/badgermux/it/RareEndsIT.java
@@ -7,10 +7,12 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.LinkOption;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -158,6 +160,43 @@
         Files.delete(fifo);
     }
 
+    /** Where there is no descriptor left a connection can't be opened: its attempt waited until its time was over. */
+    @Test void aConnectionThatCantBeOpenedEndsItsAttemptAtOnce() throws IOException, InterruptedException {
+        try (Program program = program(Program.SETTINGS); Client client = program.client()) {
+            program.discovery.take();
+            assertEquals(200, client.get("/healthz").status());
+            String pid = String.valueOf(program.process.pid());
+            Path open = Path.of("/proc", pid, "fd");
+            long before = count(open);
+            client.send(Client.request("/preview", "5000m", "", ""));
+            Peer.Call first = backend.take();
+            first.done("r");
+            first.reset();
+            assertEquals(200, client.read().status());
+            Await.until("its descriptor's end", () -> count(open) == before);
+            int free = 0;
+            while (Files.exists(open.resolve(String.valueOf(free)), LinkOption.NOFOLLOW_LINKS)) {
+                free++;
+            }
+            assertEquals(0, new ProcessBuilder("prlimit", "--pid", pid, "--nofile=" + free + ":").start().waitFor());
+            long sent = System.nanoTime();
+            client.send(Client.request("/preview", "5000m", "", ""));
+            assertEquals(503, client.read().status(), "nothing of it ran");
+            assertTrue(millisSince(sent) < 3_000, "at once, and not when its time is over");
+            assertEquals(0, new ProcessBuilder("prlimit", "--pid", pid, "--nofile=1024:").start().waitFor());
+            client.send(Client.request("/preview", "5000m", "", ""));
+            backend.take().done("r");
+            assertEquals(200, client.read().status());
+            assertEquals(1, program.count("backend_connections_open"), "none counts that never was");
+        }
+    }
+
+    private static long count(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.count();
+        }
+    }
+
     @Test void aSecondSigtermChangesNothing() throws IOException, InterruptedException {
         try (Program program = program(Program.SETTINGS); Client client = program.client()) {
             client.send(Client.request("/preview", "5000m", "", ""));
