Begin attempts behind all input of their round, so that none is for a client that has left

Cause: on a slow or busy core the end of a client's connection lies in the system's buffers beside what causes an attempt: behind its own request, or beside another attempt's outcome or the connection that comes up. The event loop read one thing and acted on it at once (Backends.attempt, ClientConnection.connected), and read the end a round later; Netty also stopped reading a connection whose buffer it had not filled, with the end right behind it.

Ruled out: reading that is off (it never is), collections (40 ms at most), the module's timers, lag between the decision and the write (never over 0.1 s).

Change: Backends begins an attempt by AfterInput, a task behind all tasks of the present round; a connection that has come up writes so, too; clients' connections are read until nothing is left, their end included.

RareMomentsIT has three new tests; with each of the three changes taken out in a scratch copy two of them fail.

--- a/src/main/java/badgermux/backend/AttemptExchange.java
+++ b/src/main/java/badgermux/backend/AttemptExchange.java
@@ -16,11 +16,11 @@
 /** An attempt on its connection: the request as it goes on, and what the lines and statuses that come back mean. */
 final class AttemptExchange implements ClientConnection.Exchange {
     private final Relay relay;
-    private final String host;
+    private final Backends.Backend backend;
     private final long limit;
     private final long attempt;
     private final Backends backends;
-    private final Pooled pooled;
+    private Pooled pooled;
     private final Lines lines = new Lines();
     private Outcome outcome;
     private byte[] result;
@@ -31,18 +31,30 @@
     private boolean told;
     private Deadlines.Deadline tail;
 
-    AttemptExchange(Relay relay, String host, long limit, long attempt, Backends backends, Pooled pooled) {
+    AttemptExchange(Relay relay, Backends.Backend backend, long limit, long attempt, Backends backends) {
         this.relay = relay;
-        this.host = host;
+        this.backend = backend;
         this.limit = limit;
         this.attempt = attempt;
         this.backends = backends;
-        this.pooled = pooled;
     }
 
-    /** The connection that it is on. */
-    Pooled on() {
-        return pooled;
+    /** Where it goes. */
+    Backends.Backend backend() {
+        return backend;
+    }
+
+    /** Starts on a connection, which may not be up yet. */
+    void startOn(Pooled connection) {
+        pooled = connection;
+        connection.connection.start(this);
+    }
+
+    /** Drops it and its connection, if it has one: nothing more is told of it. */
+    void abort() {
+        if (pooled != null) {
+            pooled.connection.abort();
+        }
     }
 
     /** Whether it has been handed to its connection's socket: from then on its backend may hear of it. */
@@ -52,7 +64,7 @@
 
     @Override public ByteBuf request() {
         begun = true;
-        return relay.encode(host, Math.max(1, (limit - backends.now()) / 1000));
+        return relay.encode(backend.host(), Math.max(1, (limit - backends.now()) / 1000));
     }
 
     @Override public void written() {
--- a/src/main/java/badgermux/backend/Backends.java
+++ b/src/main/java/badgermux/backend/Backends.java
@@ -1,5 +1,6 @@
 package badgermux.backend;
 
+import badgermux.core.AfterInput;
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
 import badgermux.core.Outbound;
@@ -37,6 +38,7 @@
     }
 
     private final EventLoopGroup loop;
+    private final AfterInput afterInput;
     private final Deadlines deadlines;
     private final LongSupplier clock;
     private final Metrics metrics;
@@ -62,6 +64,7 @@
     public Backends(EventLoopGroup loop, Deadlines deadlines, LongSupplier clock, Metrics metrics,
             Engine<Relay> engine, long connectTimeout, long connectionIdle, int cap, boolean reports) {
         this.loop = loop;
+        afterInput = new AfterInput(loop.next());
         this.deadlines = deadlines;
         this.clock = clock;
         this.metrics = metrics;
@@ -95,23 +98,40 @@
         backends.remove(id);
     }
 
+    /**
+     * Starts an attempt once all input that has come by now has been dealt with. Guards against an attempt that begins after
+     * its client has left: where the event loop is late, the end of the client's connection lies in the same round of input
+     * as whatever caused the attempt (the request itself, another attempt's outcome), and may be read after it.
+     */
     @Override public void attempt(long attempt, long id, Relay payload, long limit) {
         Backend backend = backends.get(id);
-        Pooled pooled = backend == null ? null : connect(backend);
-        if (pooled == null) {
-            // Guards against a backend set aside because we have no connection to spare.
-            engine.ended(attempt, backend == null ? Dispatch.Outcome.CONNECT_FAILED : Dispatch.Outcome.MOOT, null, null);
+        if (backend == null) {
+            engine.ended(attempt, Dispatch.Outcome.CONNECT_FAILED, null, null);
             return;
         }
-        AttemptExchange exchange = new AttemptExchange(payload, backend.host(), limit, attempt, this, pooled);
+        AttemptExchange exchange = new AttemptExchange(payload, backend, limit, attempt, this);
         attempts.put(attempt, exchange);
-        pooled.connection.start(exchange);
+        afterInput.execute(() -> begin(attempt, exchange));
+    }
+
+    private void begin(long attempt, AttemptExchange exchange) {
+        if (attempts.get(attempt) != exchange) {
+            return;     // it has been taken back meanwhile
+        }
+        Pooled pooled = connect(exchange.backend());
+        if (pooled == null) {
+            // Guards against a backend set aside because we have no connection to spare.
+            attempts.remove(attempt);
+            engine.ended(attempt, Dispatch.Outcome.MOOT, null, null);
+        } else {
+            exchange.startOn(pooled);
+        }
     }
 
     @Override public void abort(long attempt) {
         AttemptExchange exchange = attempts.remove(attempt);
         if (exchange != null) {
-            exchange.on().connection.abort();
+            exchange.abort();
         }
     }
 
@@ -130,7 +150,7 @@
      */
     public void takeBack(long id) {
         Backend backend = backends.get(id);
-        attempts.entrySet().stream().filter(e -> e.getValue().on().backend == backend && !e.getValue().isBegun())
+        attempts.entrySet().stream().filter(e -> e.getValue().backend() == backend && !e.getValue().isBegun())
             .map(Map.Entry::getKey).toList().forEach(engine::withdraw);
     }
 
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -8,6 +8,7 @@
 import badgermux.metrics.Metrics;
 import badgermux.metrics.Metrics.Count;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -152,7 +153,9 @@
     }
 
     private ServerBootstrap bootstrap(EventLoopGroup loop) {
+        // Guards against a client's end that is read a round later than the request before it: all that has come is read.
         return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     channel.pipeline().addLast(new FrontConnection(Front.this, channel));
--- a/src/main/java/badgermux/http/ClientConnection.java
+++ b/src/main/java/badgermux/http/ClientConnection.java
@@ -1,5 +1,6 @@
 package badgermux.http;
 
+import badgermux.core.AfterInput;
 import badgermux.core.Deadlines;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -38,6 +39,7 @@
     private final MessageReader reader;
     private final Runnable onClose;
     private final Channel channel;
+    private final AfterInput afterInput;
     private Deadlines.Deadline connectLimit;
     private Exchange exchange;
     private boolean connected;
@@ -56,6 +58,7 @@
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0).connect(to);
         channel = connecting.channel();
         EventLoop owner = loop.next();
+        afterInput = new AfterInput(owner);
         connecting.addListener(done -> {
             // Guards against a socket that could not be opened, for want of descriptors: that is told on another thread.
             if (owner.inEventLoop()) {
@@ -69,8 +72,8 @@
     private void connected(boolean up) {
         deadlines.cancel(connectLimit);
         if (up) {
-            connected = true;
-            write();
+            // Guards against a request written for a client whose end lies in the same round of input as this.
+            afterInput.execute(this::writeFirst);
         } else {
             close();
         }
@@ -92,6 +95,11 @@
         }
     }
 
+    private void writeFirst() {
+        connected = true;
+        write();
+    }
+
     private void write() {
         Exchange writing = exchange;
         if (writing != null && !closed) {
--- a/src/test/java/badgermux/it/Parts.java
+++ b/src/test/java/badgermux/it/Parts.java
@@ -47,6 +47,8 @@
     long sendsTo;
     /** Where it sends a job again that may go again; null where it does not. Called as soon as it is told. */
     Supplier<Long> again;
+    /** Called on the event loop behind each job that the module is told of. */
+    Runnable onJob = () -> { };
 
     Parts() throws Exception {
         Dispatch.Settings settings = new Dispatch.Settings();
@@ -143,6 +145,21 @@
         }).get();
     }
 
+    /** Does it so many tasks later, in the same round of the event loop; called on it. */
+    void afterTasks(int count, Held what) {
+        loop.next().execute(() -> {
+            if (count > 1) {
+                afterTasks(count - 1, what);
+                return;
+            }
+            try {
+                what.run();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
     @Override public void close() {
         loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
@@ -173,6 +190,7 @@
                 engine.send(job.id(), sendsTo);
             }
             jobs.add(job.id());
+            onJob.run();
         }
 
         @Override public void started(long time, long id, int attempt) { }
@@ -187,7 +205,7 @@
             if (!settled && outcome == Outcome.MOOT) {
                 engine.send(last.id(), sendsTo);
             } else if (!settled && outcome == Outcome.REJECTED && again != null) {
-                engine.send(last.id(), again.get());
+                engine.send(id, again.get());
             }
         }
 
--- a/src/test/java/badgermux/it/RareMomentsIT.java
+++ b/src/test/java/badgermux/it/RareMomentsIT.java
@@ -97,6 +97,96 @@
         }
     }
 
+    /** The event loop is late: the request and its client's end lie unread together, and the end is behind the request. */
+    @Test void whoLeftBeforeItsRequestWasReadIsNotSentOn() throws Exception {
+        keepConnections(1, backend, 1);
+        parts.sendsTo = 1;
+        parts.held(() -> {
+            client.send(Client.request("/preview", "5000m", "", ""));
+            client.close();
+        });
+        Await.until("its end", () -> parts.connections() == 0);
+        assertEquals(1, parts.count(Count.FETCHES_WRITTEN), "the one that opened the connection");
+        assertNull(backend.peek(), "its client had gone when it was read");
+    }
+
+    /** Has so many connections to a backend stand idle, so that what is sent there is written at once. */
+    private void keepConnections(long id, Peer peer, int count) throws Exception {
+        parts.sendsTo = id;
+        List<Client> clients = new ArrayList<>();
+        List<Peer.Call> calls = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            clients.add(parts.client().send(Client.request("/preview", "5000m", "", "")));
+            calls.add(peer.take());
+        }
+        for (Peer.Call call : calls) {
+            call.done("x");
+        }
+        for (Client each : clients) {
+            assertEquals(200, each.read().status());
+            each.close();
+        }
+        Await.until("their ends", () -> parts.connections() <= 1);
+    }
+
+    /** A turn-down and the client's end lie unread together: whichever is read first, no second attempt begins. */
+    @Test void whoLeftBeforeAnAttemptsOutcomeWasReadIsNotSentOnAgain() throws Exception {
+        Peer other = new Peer();
+        List<Client> clients = new ArrayList<>();
+        List<Peer.Call> calls = new ArrayList<>();
+        parts.held(() -> parts.backends.locate(2, at(other)));
+        keepConnections(2, other, 8);
+        long before = parts.count(Count.FETCHES_WRITTEN);
+        parts.sendsTo = 1;
+        parts.again = () -> 2L;
+        for (int i = 0; i < 8; i++) {
+            Client each = parts.client();
+            clients.add(each.send(Client.request("/preview", "5000m", "", "")));
+            calls.add(backend.take());
+        }
+        parts.held(() -> {
+            for (int i = 0; i < calls.size(); i++) {
+                calls.get(i).reply("503 Service Unavailable\r\nX-Not-Processed: 1", "");
+                clients.get(i).close();
+            }
+        });
+        Await.until("their ends", () -> parts.connections() == 1);
+        assertEquals(before + calls.size(), parts.count(Count.FETCHES_WRITTEN));
+        assertNull(other.peek(), "nothing is tried again for a client that has gone");
+        other.close();
+    }
+
+    /** The connection to a runner comes up in the round of input in which the client's end is read. */
+    @Test void whoLeftBeforeItsAttemptsConnectionWasUpIsNotSentOn() throws Exception {
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            clients.add(parts.client());
+        }
+        AtomicInteger jobs = new AtomicInteger();
+        AtomicInteger connecting = new AtomicInteger();
+        parts.sendsTo = 1;
+        parts.onJob = () -> {
+            if (jobs.incrementAndGet() == clients.size()) {
+                // Behind the tasks that begin the attempts, and before the next round of input.
+                parts.afterTasks(3, () -> {
+                    connecting.set((int) parts.openNow());
+                    for (Client each : clients) {
+                        each.close();
+                    }
+                });
+            }
+        };
+        parts.held(() -> {
+            for (Client each : clients) {
+                each.send(Client.request("/preview", "5000m", "", ""));
+            }
+        });
+        Await.until("their ends", () -> parts.connections() == 1);
+        assertEquals(clients.size(), connecting.get(), "their attempts had begun");
+        assertEquals(0, parts.count(Count.FETCHES_WRITTEN));
+        assertNull(backend.peek(), "its client had gone when the connection came up");
+    }
+
     /** A connection to a runner comes up late; its client has left by then, and nothing may be cancelled there. */
     @Test void whatNobodyWaitsForIsNotWrittenOnceItsConnectionIsUp() throws Exception {
         parts.sendsTo = 1;
