Test: a killed process is ready and serves within 6 s of its restart

RestartReadyIT kills the packaged program by SIGKILL, starts it again on the same address and judges the time from its command to a 200 from /healthz (6 s each time, not nine in ten) and that a request is served: with discovery down, with one that takes the call and says nothing, with 1,024 backends known from before, with 500 clients that connect from the first moment on and leave half a request or nothing (437 are let in at most), and with what was learnt half written. Without any list and discovery, /healthz says 503 until a list comes; the protocol page says no more than that clients come after a 200.

--- a/src/test/java/badgermux/it/Program.java
+++ b/src/test/java/badgermux/it/Program.java
@@ -72,6 +72,29 @@
         return onCall(folder, members, sockets, SETTINGS);
     }
 
+    /**
+     * Starts it where a process before it listened, and does not wait until it listens.
+     *
+     * @param discovery where it finds discovery, {@code host:port}; its own {@link #discovery} gets no calls
+     * @param tmp       its $TMPDIR, which may have been used before
+     */
+    static Program restarted(Path config, int port, String discovery, Path tmp) throws IOException {
+        Program program = new Program(command(), config, Map.of("GW_LISTEN", "127.0.0.1:" + port,
+            "GW_DISCOVERY", discovery, "TMPDIR", tmp.toString()));
+        program.port = port;
+        return program;
+    }
+
+    /** Where clients connect. */
+    int port() {
+        return port;
+    }
+
+    /** Ends it as an outage does, by SIGKILL, and waits for its end. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
     /** Starts it with an admin API, whose options follow {@code serve}. */
     Program(Path folder, String members, String options) throws IOException {
         this(command() + " --admin 127.0.0.1:0 " + options, config(folder, members, 1024, 192, SETTINGS));
