Deadlines: an error at one ends neither those due with it nor the alarm

Cause, found by reading: runDue caught RuntimeException only. An Error (a stack that overflows, a class that can't be linked, memory) left through the loop: those due with it waited, and with no alarm set nothing came due until some event asked for a deadline of its own. A process that is ending may have none, and with it the last answers.

At fault: core/Deadlines.runDue. Ruled out: that Netty sets the alarm anew (it catches and logs the error of the scheduled task, and knows nothing of our deadlines). Not seen in a log so far; no lost request is put down to it.

--- a/src/main/java/badgermux/core/Deadlines.java
+++ b/src/main/java/badgermux/core/Deadlines.java
@@ -65,17 +65,23 @@
     public void runDue() {
         alarmAt = Long.MAX_VALUE;
         long now = clock.getAsLong();
-        while (!pending.isEmpty() && pending.first().at <= now) {
-            Deadline due = pending.pollFirst();
-            try {
-                due.what.run();
-            } catch (RuntimeException e) {
-                // Guards against one fault that takes all later deadlines with it.
-                metrics.add(Count.EXCEPTIONS);
-                Logger.error(e, "exception at a deadline");
+        try {
+            while (!pending.isEmpty() && pending.first().at <= now) {
+                run(pending.pollFirst());
             }
+        } finally {
+            setAlarm();
+        }
+    }
+
+    /** Guards against one fault that takes all later deadlines with it; errors, too, such as a stack that overflows. */
+    private void run(Deadline due) {
+        try {
+            due.what.run();
+        } catch (RuntimeException | Error e) {
+            metrics.add(Count.EXCEPTIONS);
+            Logger.error(e, "exception at a deadline");
         }
-        setAlarm();
     }
 
     private void setAlarm() {
