Answer in time on an event loop that stands still: deadlines, last answers, ends, room

ShutdownAnswers begins by what is open and goes on in batches, Server.end reads the clock first, and the engine fails what the module leaves open; - String.format of Retry-After was a third of the time of those answers; - a close overtook an answer that had not left (FrontConnection.close), one that sent half a request was closed without a word to make room (Front.makeRoom), silence was reckoned from the loop's own standstill, a whole request behind the one answered was dropped at the end (answer), and the listener closed without a last look (whenQuiet).

--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -210,9 +210,10 @@
 
     /** The process goes on until this returns: once all that was taken is answered. */
     private void end() {
+        long toldAt = clock.now();      // first of all: the kill counts from here
         try {
             if (quiet.getCount() > 0) {
-                loop.execute(this::drain);
+                loop.execute(() -> drain(toldAt));
                 quiet.await();
                 // Guards against an end that waits for those who read what it prints: the answers are out.
                 Thread printer = new Thread(() -> {
@@ -229,7 +230,7 @@
         }
     }
 
-    private void drain() {
+    private void drain(long toldAt) {
         if (ended) {
             return;
         }
@@ -240,7 +241,7 @@
         if (front == null) {
             quiet.countDown();      // nobody was let in yet, and nobody is from here on
         } else {
-            front.drain(this::drained);
+            front.drain(toldAt, this::drained);
         }
     }
 
--- a/src/main/java/badgermux/core/Deadlines.java
+++ b/src/main/java/badgermux/core/Deadlines.java
@@ -30,12 +30,19 @@
         void set(long at);
     }
 
+    /** A deadline that runs so much late tells of a standstill, in microseconds. */
+    private static final long NOTICEABLE = 20_000;
+    /** What falls due so much later runs behind the next round of input, in microseconds. */
+    private static final long NEXT_ROUND = 1_000;
+
     private final TreeSet<Deadline> pending = new TreeSet<>();
     private final LongSupplier clock;
     private final Alarm alarm;
     private final Metrics metrics;
     private long alarmAt = Long.MAX_VALUE;
     private long order;
+    /** When the deadline fell due that ran last behind a standstill; cleared behind the next round of input. */
+    private long lateSince = Long.MAX_VALUE;
 
     public Deadlines(LongSupplier clock, Alarm alarm, Metrics metrics) {
         this.clock = clock;
@@ -61,10 +68,23 @@
         }
     }
 
+    /**
+     * For how long the event loop has stood still before the present round of input, in microseconds; 0 where it has not. What
+     * is read now may have come as long ago. A standstill is seen in full only as far as some deadline fell due at its
+     * beginning.
+     */
+    public long lateness() {
+        long dueSince = pending.isEmpty() ? Long.MAX_VALUE : pending.first().at;
+        return Math.max(0, clock.getAsLong() - Math.min(dueSince, lateSince));
+    }
+
     /** Runs what is due, in order; what falls due meanwhile waits for the next alarm. */
     public void runDue() {
         alarmAt = Long.MAX_VALUE;
         long now = clock.getAsLong();
+        if (!pending.isEmpty() && now - pending.first().at > NOTICEABLE) {
+            rememberLateness(now);
+        }
         try {
             while (!pending.isEmpty() && pending.first().at <= now) {
                 run(pending.pollFirst());
@@ -74,6 +94,12 @@
         }
     }
 
+    /** Until the next round of input has been read: what came during the standstill is read there. */
+    private void rememberLateness(long now) {
+        lateSince = Math.min(lateSince, pending.first().at);
+        at(now + NEXT_ROUND, () -> lateSince = Long.MAX_VALUE);
+    }
+
     /** Guards against one fault that takes all later deadlines with it; errors, too, such as a stack that overflows. */
     private void run(Deadline due) {
         try {
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -195,9 +195,28 @@
         module.inherit(left);
     }
 
-    /** Has all that is open answered now: this process is about to be ended. */
-    public void ending() {
-        tell(0, () -> module.ending(clock.getAsLong()));
+    /**
+     * Has some of the open requests answered now, as this process is about to be ended: those first of which no attempt has
+     * been made, whose end is the cheapest.
+     *
+     * @param most how many at most
+     */
+    public void answerFinally(int most) {
+        List<Long> chosen = new ArrayList<>(requests.handles(r -> !r.over && r.attempts.isEmpty(), most));
+        chosen.addAll(requests.handles(r -> !r.over && !r.attempts.isEmpty(), most - chosen.size()));
+        for (long id : chosen) {
+            tell(id, () -> module.ending(clock.getAsLong(), id));
+            tell(id, () -> endUnanswered(id));
+        }
+    }
+
+    /** Guards against a request that the module leaves open although its process ends. */
+    private void endUnanswered(long id) {
+        Request<P> r = requests.get(id);
+        if (r != null && !r.over) {
+            failRequest(r, true);
+            leave(id);
+        }
     }
 
     /** Whether the module gives a backend no work now. */
--- a/src/main/java/badgermux/core/SlotTable.java
+++ b/src/main/java/badgermux/core/SlotTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * Numbered slots, each with a generation. A handle names a slot and the generation it was given in, so that an event
@@ -60,6 +61,18 @@
         return entry;
     }
 
+    /** The handles of the first entries for which {@code which} holds, in the order of their slots, {@code most} at most. */
+    public List<Long> handles(Predicate<T> which, int most) {
+        List<Long> handles = new ArrayList<>();
+        for (int slot = 0; slot < entries.size() && handles.size() < most; slot++) {
+            T entry = entries.get(slot);
+            if (entry != null && which.test(entry)) {
+                handles.add(generations.get(slot) << SLOT_BITS | slot);
+            }
+        }
+        return handles;
+    }
+
     public int size() {
         return size;
     }
--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -346,8 +346,8 @@
     /** Goes on from what the process before left, which was just now; figures that these settings can't have are passed over. */
     void inherit(Heritage left);
 
-    /** The process is about to be ended: all that is open gets its final answer now. */
-    void ending(long now);
+    /** The process is about to be ended: a job, if it is still open, gets its final answer now. */
+    void ending(long now, long job);
 
     /** Whether a worker gets no work, as of the last event: unknown, not ready, set aside, or silent when probed. */
     boolean avoids(long worker);
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -233,9 +233,9 @@
         left.pushes().forEach(p -> servers.getOrDefault(p.worker(), new Server()).coldSends.add(p));
     }
 
-    @Override public void ending(long time) {
+    @Override public void ending(long time, long job) {
         now = time;
-        List.copyOf(requests.values()).stream().filter(r -> !r.over).forEach(this::giveUp);
+        if (requests.containsKey(job) && !requests.get(job).over) giveUp(requests.get(job));
     }
 
     @Override public boolean avoids(long worker) {
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -1,5 +1,6 @@
 package badgermux.front;
 
+import badgermux.core.AfterInput;
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
 import badgermux.core.Names;
@@ -14,6 +15,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
@@ -49,6 +51,8 @@
     private static final long ACCEPT_AGAIN = 20_000;
     /** When a request that is refused here, for want of room, should come again. */
     private static final long COME_BACK = 500_000;
+    /** How often a connection is read in one round: Netty's own number. A request of ours takes fewer, its body included. */
+    private static final int READS_AT_ONCE = 16;
 
     private final LongSupplier clock;
     private final Deadlines deadlines;
@@ -85,6 +89,10 @@
     private boolean handedOver;
     private boolean draining;
     private long drainedFrom;
+    private ShutdownAnswers lastAnswers;
+    /** Whether nothing was open at the last look. */
+    private boolean wasQuiet;
+    private AfterInput afterInput;
 
     /**
      * Makes a front that does not listen yet.
@@ -153,9 +161,12 @@
     }
 
     private ServerBootstrap bootstrap(EventLoopGroup loop) {
+        afterInput = new AfterInput(loop.next());
         // Guards against a client's end that is read a round later than the request before it: all that has come is read.
+        RecvByteBufAllocator untilNothingIsLeft = new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false)
+            .maxMessagesPerRead(READS_AT_ONCE);
         return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, untilNothingIsLeft)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     channel.pipeline().addLast(new FrontConnection(Front.this, channel));
@@ -195,14 +206,20 @@
         listener.config().setAutoRead(false);
     }
 
-    /** Winds up: serves what comes during the changeover, answers all that was taken, then runs {@code quiet}. */
-    public void drain(Runnable quiet) {
+    /**
+     * Winds up: serves what comes during the changeover, answers all that was taken, then runs {@code quiet}.
+     *
+     * @param toldAt when the process was told to end; the kill counts from there, however late this is called
+     */
+    public void drain(long toldAt, Runnable quiet) {
         if (draining) {
             return;
         }
         draining = true;
-        drainedFrom = now();
-        deadlines.after(lastAnswer, engine::ending);
+        drainedFrom = toldAt;
+        lastAnswers = new ShutdownAnswers(deadlines, clock, engine::open, engine::answerFinally,
+            toldAt + lastAnswer / 2, toldAt + lastAnswer);
+        lastAnswers.start();
         if (inherited) {
             // Who connects from here on waits in the socket's queue for the next process, and is not refused.
             stopAccepting();
@@ -211,25 +228,43 @@
             whenQuiet(quiet);
             return;
         }
-        deadlines.after(KEPT_ON, this::closeResting);
-        deadlines.after(CHANGEOVER, () -> whenQuiet(quiet));
+        deadlines.at(toldAt + KEPT_ON, this::closeResting);
+        deadlines.at(toldAt + CHANGEOVER, () -> whenQuiet(quiet));
     }
 
     private void whenQuiet(Runnable quiet) {
         closeResting();
+        long readUntil = readUntil();
         // Guards against a first request that crosses its connection's close: only those that say nothing are closed.
-        List.copyOf(fresh).stream().filter(c -> now() - c.openedAt() >= SPARED).forEach(FrontConnection::close);
+        List.copyOf(fresh).stream().filter(c -> readUntil - c.openedAt() >= SPARED).forEach(FrontConnection::close);
         // Guards against a request that has come whole so late that it can't be answered before we are killed.
         List.copyOf(halfway).stream().filter(c -> now() >= drainedFrom + CHANGEOVER
-            || !c.isMoving() && now() - c.heardAt() >= SPARED).forEach(FrontConnection::turnBack);
-        if (connections.isEmpty() && engine.open() == 0) {
+            || !c.isMoving() && readUntil - c.heardAt() >= SPARED).forEach(FrontConnection::turnBack);
+        boolean isQuiet = connections.isEmpty() && engine.open() == 0;
+        // Guards against who was let in by the system and not by us yet: there is another look, and all may come in before it.
+        if (isQuiet && (inherited || wasQuiet)) {
             if (!inherited) {
                 listener.close();
             }
             quiet.run();
-        } else {
-            deadlines.after(QUIET_CHECK, () -> whenQuiet(quiet));
+            return;
         }
+        wasQuiet = isQuiet;
+        if (isQuiet) {
+            acceptNow();
+        }
+        deadlines.after(QUIET_CHECK, () -> whenQuiet(quiet));
+    }
+
+    private void acceptNow() {
+        deadlines.cancel(acceptAgain);
+        acceptAgain = null;
+        listener.config().setAutoRead(true);
+    }
+
+    /** What had come by then has been read: the event loop may have stood still since. */
+    private long readUntil() {
+        return now() - deadlines.lateness();
     }
 
     private void closeResting() {
@@ -241,8 +276,13 @@
 
     void opened(FrontConnection connection) {
         metrics.add(Count.CLIENT_CONNECTIONS);
+        // Guards against one ended as silent whose request lies unread in the same round of input.
         if (served() >= cap) {
-            makeRoom();
+            afterInput.execute(() -> {
+                if (served() > cap) {
+                    makeRoom();
+                }
+            });
         }
         connections.add(connection);
         fresh.add(connection);
@@ -258,19 +298,25 @@
      * the close once more. One whose request goes on coming comes last, and only after 3 s.
      */
     private boolean makeRoom() {
-        long silentSince = now() - (connections.size() < cap + overCap ? SPARED : SPARED_IN_NEED);
+        long readUntil = readUntil();
+        long silentSince = readUntil - (connections.size() < cap + overCap ? SPARED : SPARED_IN_NEED);
         FrontConnection victim = first(strangers);
         victim = victim == null ? longSilent(fresh, silentSince) : victim;
-        victim = victim == null ? longSilent(halfway, now() - SPARED) : victim;
+        victim = victim == null ? longSilent(halfway, readUntil - SPARED) : victim;
         victim = victim == null ? first(resting) : victim;
         // Guards against a crowd that holds all places by a byte now and then.
         victim = victim != null ? victim : halfway.stream()
-            .filter(c -> now() - c.beganAt() >= SPARED_MOVING).findFirst().orElse(null);
+            .filter(c -> readUntil - c.beganAt() >= SPARED_MOVING).findFirst().orElse(null);
         if (victim == null) {
             return false;
         }
         metrics.add(Count.CLIENT_CONNECTIONS_EVICTED);
-        victim.close();
+        // Guards against a request whose last byte crosses the end of its connection: its client is told.
+        if (halfway.contains(victim)) {
+            victim.turnBack();
+        } else {
+            victim.close();
+        }
         return true;
     }
 
@@ -382,7 +428,15 @@
 
     /** Whether what is taken now would be open when we are killed. */
     boolean isPastLastAnswer() {
-        return draining && now() >= drainedFrom + lastAnswer;
+        return draining && (lastAnswers.hasBegun() || now() >= drainedFrom + lastAnswer);
+    }
+
+    /**
+     * Whether a connection that is let in now may have waited for it, so that its client may have left meanwhile: there was
+     * no room, or the event loop stood still.
+     */
+    boolean letsInLate() {
+        return served() >= cap || deadlines.lateness() > FrontConnection.SETTLE;
     }
 
     /** Whether as many requests as connections are served wait for their answer: one more is turned away. */
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -20,7 +20,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import org.tinylog.Logger;
 
 /** A client's connection: one request at a time, each with its final answer. */
@@ -31,6 +30,11 @@
     static final long WHOLE_WITHIN = 8_000_000;
     /** Bytes that come so long after others were sent apart: nobody's who left half a request behind. */
     private static final long APART = 20_000;
+    /**
+     * A client's end may come this much behind its request where both waited for us to let it in. Half of the 0.1 s after
+     * which no attempt may begin for a client that has left; the other half is for the way here.
+     */
+    static final long SETTLE = 50_000;
     /** A connection that we end is heard out for so long, and for so many bytes more, before it is cut off. */
     static final long LINGER = 500_000;
     private static final long MAX_DRAINED = 1 << 20;
@@ -41,14 +45,16 @@
 
     /** A request that is being read, or waits behind one that is not answered yet. */
     private static final class Incoming {
-        private final long cameAt;
+        private final long beganAt;
+        /** When its last byte came; deadlines count from there. */
+        private long cameAt;
         private Head head;
         private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
         private int held;
         private boolean noRoom;
 
-        Incoming(long cameAt) {
-            this.cameAt = cameAt;
+        Incoming(long beganAt) {
+            this.beganAt = beganAt;
         }
     }
 
@@ -64,8 +70,12 @@
     private String openId;
     private Terms terms;
     private long request;
-    private long cameAt;
     private long heardAt;
+    /** When what was read last may have come: before {@link #heardAt}, where the event loop stood still. */
+    private long arrivedAt;
+    /** Whether its first request may be from a client that has left: it waited to be let in. */
+    private boolean letInLate;
+    private ChannelFuture lastWritten;
     private boolean moving;
     private long drained;
     private long endedAt;
@@ -96,7 +106,7 @@
 
     /** When the request that it has begun began to come. */
     long beganAt() {
-        return incoming == null ? heardAt : incoming.cameAt;
+        return incoming == null ? heardAt : incoming.beganAt;
     }
 
     /** Whether the request that it has begun goes on coming in pieces. */
@@ -111,6 +121,8 @@
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
         limit = front.deadlines().after(SILENT_FOR, this::tooLate);
+        letInLate = front.letsInLate();
+        lastWritten = channel.newSucceededFuture();
         front.opened(this);
     }
 
@@ -128,10 +140,8 @@
         long now = front.now();
         moving |= incoming != null && now - heardAt > APART;
         heardAt = now;
-        // Guards against a deadline that starts late: the client counts from before it sent, not from our parsing.
-        if (!pending.isReadable() && incoming == null) {
-            cameAt = now;
-        }
+        // Guards against a deadline that starts late: the client counts from its last byte, not from our reading.
+        arrivedAt = now - front.deadlines().lateness();
         pending.discardReadBytes().writeBytes(in);
         in.release();
         process();
@@ -188,13 +198,13 @@
 
     private void read() throws BadMessage {
         if (incoming == null) {
-            incoming = new Incoming(cameAt);
+            incoming = new Incoming(heardAt);
         }
         if (reader.read(pending)) {
+            incoming.cameAt = arrivedAt;
             waiting = incoming;
             incoming = null;
             moving = false;
-            cameAt = front.now();
         }
     }
 
@@ -223,7 +233,7 @@
 
     /** Guards against connections held by those who say nothing, or half of something. */
     private void tooLate() {
-        long until = incoming == null ? 0 : Math.min(heardAt + SILENT_FOR, incoming.cameAt + WHOLE_WITHIN);
+        long until = incoming == null ? 0 : Math.min(heardAt + SILENT_FOR, incoming.beganAt + WHOLE_WITHIN);
         if (until > front.now()) {
             limit = front.deadlines().at(until, this::tooLate);     // it goes on coming
             return;
@@ -362,6 +372,16 @@
     }
 
     private void take(RequestHead fields, int jobClass, byte[] body) {
+        if (letInLate) {
+            letInLate = false;
+            Incoming settling = current;
+            front.deadlines().after(SETTLE, () -> {
+                if (!closed && !ending && current == settling) {
+                    take(fields, jobClass, body);
+                }
+            });
+            return;
+        }
         if (front.isPastLastAnswer()) {     // it has been judged for as long as that
             turnAway(jobClass);
             return;
@@ -391,18 +411,24 @@
     }
 
     @Override public void synthetic(long comeBack) {
-        String advice = comeBack <= 0 ? ""
-            : String.format(Locale.ROOT, "Retry-After: %.3f\r\n", Math.max(0.001, comeBack / 1e6));
+        String advice = comeBack <= 0 ? "" : "Retry-After: " + seconds(comeBack) + "\r\n";
         answer(503, "Service Unavailable", advice, new byte[0]);
     }
 
+    /** Seconds with three decimals, 0.001 at least. Not by a formatter, which took a third of the time of a refusal. */
+    static String seconds(long micros) {
+        long millis = Math.max(1, (micros + 500) / 1000);
+        return millis / 1000 + "." + Long.toString(1000 + millis % 1000).substring(1);
+    }
+
     @Override public void failed(boolean late) {
         answer(late ? 504 : 500, late ? "Gateway Timeout" : "Internal Server Error", "", new byte[0]);
     }
 
     private void answer(int status, String reason, String headers, byte[] content) {
         over();
-        keepAlive &= !front.isLeaving();
+        // What has come whole behind it is answered as well.
+        keepAlive &= !front.isLeaving() || waiting != null;
         if (closed) {
             return;
         }
@@ -410,6 +436,7 @@
             channel.writeAndFlush(Bytes.response(status, reason, headers, content, keepAlive));
         // Guards against a client left waiting on a connection whose answer could not be written.
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        lastWritten = written;
         if (keepAlive) {
             process();
         } else {
@@ -423,9 +450,9 @@
         breakOff(status, "Rejected", why);
     }
 
-    /** Half of a request has come, and the rest would come too late: it is told so, and may go to another process. */
+    /** Half of a request has come, and the rest can't be waited for: its client is told so, and may go to another process. */
     void turnBack() {
-        breakOff(503, "Service Unavailable", "this process is ending");
+        breakOff(503, "Service Unavailable", "the request came too slowly for this process to wait for its end");
     }
 
     private void breakOff(int status, String reason, String why) {
@@ -501,7 +528,8 @@
     void close() {
         if (!closed && !ending) {
             keepAlive = false;
-            linger(channel.newSucceededFuture());
+            // Guards against an answer cut short: to shut our side drops what has not left yet.
+            linger(lastWritten);
         }
     }
 
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -71,7 +71,10 @@
 
         @Override public void inherit(Heritage left) { }
 
-        @Override public void ending(long time) { }
+        @Override public void ending(long time, long job) {
+            told.add("ending " + (job == EngineTest.this.job));
+        }
+
 
         @Override public boolean avoids(long worker) {
             return false;
--- a/src/test/java/badgermux/it/Client.java
+++ b/src/test/java/badgermux/it/Client.java
@@ -77,6 +77,14 @@
         socket.close();
     }
 
+    /** Closes, and waits until the other side's system has the end: its socket waits for its own close then. */
+    void closeAndAwaitArrival() throws IOException {
+        int here = socket.getLocalPort();
+        int there = socket.getPort();
+        socket.close();
+        Await.until("the end's arrival", () -> Sockets.waitsForItsClose(there, here));
+    }
+
     /** How many bytes have come that nobody has read. */
     int unread() throws IOException {
         return socket.getInputStream().available();
--- a/src/test/java/badgermux/it/Parts.java
+++ b/src/test/java/badgermux/it/Parts.java
@@ -31,22 +31,30 @@
         void run() throws Exception;
     }
 
+    /** How many clients are served at once. */
+    static final int MOST_CLIENTS = 20;
+
     final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final Clock clock = new Clock();
     final Metrics metrics = new Metrics(List.of("preview"));
-    final Deadlines deadlines = new Deadlines(clock::now, this::alarm, metrics);
-    final Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, 3);
+    final Deadlines deadlines = new Deadlines(this::now, this::alarm, metrics);
+    final Engine<Relay> engine = new Engine<>(this::now, deadlines, metrics, 3);
     final Backends backends;
     final Front front;
     /** What the module was told, in order. */
     final List<String> told = new ArrayList<>();
     private final BlockingQueue<Long> jobs = new LinkedBlockingQueue<>();
     private final int port;
+    private long stoppedAt;
     private Dispatch.Job last;
     /** Where the module sends each job at once; 0 where it holds them. */
     long sendsTo;
     /** Where it sends a job again that may go again; null where it does not. Called as soon as it is told. */
     Supplier<Long> again;
+    /** When it was told that a job is to end with this process. */
+    final List<Long> endings = new ArrayList<>();
+    /** Whether it refuses such a job; else the engine has to fail it. */
+    boolean refusesAtTheEnd = true;
     /** Called on the event loop behind each job that the module is told of. */
     Runnable onJob = () -> { };
 
@@ -54,15 +62,25 @@
         Dispatch.Settings settings = new Dispatch.Settings();
         settings.classes.add(new Dispatch.JobClass("preview", Dispatch.Effect.REPEATABLE, Dispatch.Scope.ALL, 4_000_000, 1,
             5_000_000, 0, 1, 0, -1, false));
-        backends = new Backends(loop, deadlines, clock::now, metrics, engine, 3_000_000, 15_000_000, 100, false);
-        front = new Front(clock::now, deadlines, metrics, engine, settings, () -> true, 20, 8, 1 << 24, null);
+        backends = new Backends(loop, deadlines, this::now, metrics, engine, 3_000_000, 15_000_000, 100, false);
+        front = new Front(this::now, deadlines, metrics, engine, settings, () -> true, MOST_CLIENTS, 8, 1 << 24, null);
         engine.join(new Module(), backends, () -> told.add("watch"));
         port = ((InetSocketAddress) front.listen(loop, new InetSocketAddress("127.0.0.1", 0)).sync().channel().localAddress())
             .getPort();
     }
 
     private void alarm(long at) {
-        loop.schedule(deadlines::runDue, Math.max(0, at - clock.now()), TimeUnit.MICROSECONDS);
+        loop.schedule(deadlines::runDue, Math.max(0, at - now()), TimeUnit.MICROSECONDS);
+    }
+
+    /** The time of all parts, in microseconds. */
+    long now() {
+        return stoppedAt > 0 ? stoppedAt : clock.now();
+    }
+
+    /** Stops the clock, so that nothing falls due, or has it go on; called on the event loop. */
+    void stopClock(boolean stops) {
+        stoppedAt = stops ? clock.now() : 0;
     }
 
     Client client() throws IOException {
@@ -78,6 +96,11 @@
         return job;
     }
 
+    /** What the client of the last job had left when the module was told of it, in microseconds; called on the event loop. */
+    long left() {
+        return last.left();
+    }
+
     /** Whether one is there already that nobody has taken. */
     boolean hasJob() {
         return !jobs.isEmpty();
@@ -172,8 +195,12 @@
 
         @Override public void inherit(Heritage left) { }
 
-        @Override public void ending(long time) {
+        @Override public void ending(long time, long job) {
             told.add("ending");
+            endings.add(now());
+            if (refusesAtTheEnd) {
+                engine.refuse(job, 0);
+            }
         }
 
         @Override public boolean avoids(long worker) {
--- a/src/test/java/badgermux/it/RareMomentsIT.java
+++ b/src/test/java/badgermux/it/RareMomentsIT.java
@@ -103,7 +103,7 @@
         parts.sendsTo = 1;
         parts.held(() -> {
             client.send(Client.request("/preview", "5000m", "", ""));
-            client.close();
+            client.closeAndAwaitArrival();
         });
         Await.until("its end", () -> parts.connections() == 0);
         assertEquals(1, parts.count(Count.FETCHES_WRITTEN), "the one that opened the connection");
@@ -129,6 +129,105 @@
         Await.until("their ends", () -> parts.connections() <= 1);
     }
 
+    /** Where there is no room, clients wait to be let in; the end of one that has left may come behind its request. */
+    @Test void whoMayHaveLeftBeforeItWasLetInIsWaitedForAMoment() throws Exception {
+        keepConnections(1, backend, 1);
+        List<Client> crowd = new ArrayList<>();
+        for (int i = 0; i < Parts.MOST_CLIENTS; i++) {
+            crowd.add(parts.client());
+        }
+        Await.until("a full house", () -> parts.connections() == 1 + Parts.MOST_CLIENTS);
+        parts.held(() -> parts.stopClock(true));
+        long before = parts.count(Count.CLIENT_CONNECTIONS);
+        Client leaves = parts.client();
+        try (Client stays = parts.client()) {
+            Await.until("they are let in", () -> parts.count(Count.CLIENT_CONNECTIONS) == before + 2);
+            leaves.send(Client.request("/preview", "5000m", "", ""));
+            stays.send(Client.request("/preview", "5000m", "", ""));
+            parts.held(() -> { });  // a round of the event loop in which the requests are read
+            parts.held(() -> { });
+            long connected = parts.connections();
+            leaves.close();
+            Await.until("its end", () -> parts.connections() < connected);
+            parts.held(() -> parts.stopClock(false));
+            parts.job();    // the one that opened the connection
+            parts.job();
+            backend.take();
+            assertNull(backend.peek(), "who stays is sent on, and nobody else");
+            assertEquals(2, parts.count(Count.FETCHES_WRITTEN), "the one that opened the connection, and who stays");
+        }
+        for (Client each : crowd) {
+            each.close();
+        }
+    }
+
+    /** The event loop stands still: a client's time counts from its last byte, not from when that was read. */
+    @Test void aDeadlineCountsFromWhenTheRequestCame() throws Exception {
+        parts.held(() -> {
+            parts.deadlines.after(0, () -> { });
+            client.send(Client.request("/preview", "2000m", "", ""));
+            TimeUnit.MILLISECONDS.sleep(400);   // the standstill itself
+        });
+        parts.job();
+        long[] left = new long[1];
+        parts.held(() -> left[0] = parts.left());
+        assertTrue(left[0] < 1_650_000, "it has waited for 0.4 s of its 2 s, but has " + left[0] + " us left");
+    }
+
+    /** The kill counts from the signal: a process that hears of it late has less time left. */
+    @Test void theLastAnswersCountFromTheSignalHoweverLateItIsHeardOf() throws Exception {
+        client.send(Client.request("/preview", "5000m", "", ""));
+        parts.job();
+        long[] toldAt = new long[1];
+        parts.held(() -> {
+            toldAt[0] = parts.now() - 3_000_000;
+            parts.front.drain(toldAt[0], () -> { });
+        });
+        assertEquals(503, client.read().status());
+        long answeredAt = parts.endings.get(0) - toldAt[0];
+        assertTrue(answeredAt < 3_400_000, "answered " + answeredAt + " us after the signal; the kill comes after 3,700,000");
+    }
+
+    /** The module leaves it open although the process ends: the engine fails it. */
+    @Test void whatTheModuleLeavesOpenAtTheEndIsFailed() throws Exception {
+        parts.refusesAtTheEnd = false;
+        client.send(Client.request("/preview", "5000m", "", ""));
+        parts.job();
+        parts.held(() -> parts.front.drain(parts.now() - 3_300_000, () -> { }));
+        assertEquals(504, client.read().status());
+    }
+
+    /** Two whole requests on one connection, and the process is told to end: both are answered. */
+    @Test void whatCameWholeBehindAnOpenRequestIsAnsweredAtTheEnd() throws Exception {
+        client.send(Client.request("/preview", "5000m", "", "") + Client.request("/preview", "5000m", "", ""));
+        long first = parts.job();
+        parts.held(() -> {
+            parts.front.drain(parts.now(), () -> { });
+            parts.engine.refuse(first, 0);
+        });
+        long second = parts.job();
+        parts.held(() -> parts.engine.refuse(second, 0));
+        assertEquals(503, client.read().status());
+        assertEquals(503, client.read().status());
+        assertTrue(client.isEnded());
+    }
+
+    /** Half a request has come and no more: where it has to make room its client is told, as its last byte may cross that. */
+    @Test void whoLeftHalfARequestIsToldWhenItMakesRoom() throws Exception {
+        client.send("POST /preview HTTP/1.1\r\nHost: x\r\n");
+        List<Client> crowd = new ArrayList<>();
+        Await.until("its end", () -> {
+            Client next = parts.client();
+            crowd.add(next);
+            next.send(Client.request("/preview", "5000m", "", ""));
+            return parts.count(Count.CLIENT_CONNECTIONS_EVICTED) > 0;
+        });
+        assertEquals(503, client.read().status());
+        for (Client each : crowd) {
+            each.close();
+        }
+    }
+
     /** A turn-down and the client's end lie unread together: whichever is read first, no second attempt begins. */
     @Test void whoLeftBeforeAnAttemptsOutcomeWasReadIsNotSentOnAgain() throws Exception {
         Peer other = new Peer();
@@ -147,7 +246,7 @@
         parts.held(() -> {
             for (int i = 0; i < calls.size(); i++) {
                 calls.get(i).reply("503 Service Unavailable\r\nX-Not-Processed: 1", "");
-                clients.get(i).close();
+                clients.get(i).closeAndAwaitArrival();
             }
         });
         Await.until("their ends", () -> parts.connections() == 1);
@@ -171,7 +270,7 @@
                 parts.afterTasks(3, () -> {
                     connecting.set((int) parts.openNow());
                     for (Client each : clients) {
-                        each.close();
+                        each.closeAndAwaitArrival();
                     }
                 });
             }
