--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -76,7 +76,7 @@
 
     private void serve() throws ConfigException, InterruptedException {
         // First of all: SIGHUP ends a process that says nothing of it.
-        Hangup.handle(this::reload);
+        SighupHandler.handle(this::reload);
         Config config = Config.read(environment);
         ServerSocketChannel held = config.inherits() ? inherited() : null;
         metrics = new Metrics(config.settings().classes.stream().map(Dispatch.JobClass::name).toList());
--- a/src/main/java/badgermux/Hangup.java
+++ b/src/main/java/badgermux/SighupHandler.java
@@ -6,15 +6,15 @@
  * SIGHUP. Java has no other way to it than a class of the JDK's own, {@code sun.misc.Signal}, which is reached by its name
  * here: javac's warning of it can't be switched off, and warnings are errors in this project.
  */
-final class Hangup {
-    private Hangup() { }
+final class SighupHandler {
+    private SighupHandler() { }
 
     /** Has this run for each SIGHUP, on a thread of its own, in place of the process's end. */
     static void handle(Runnable what) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object handling = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+            Object handling = Proxy.newProxyInstance(SighupHandler.class.getClassLoader(), new Class<?>[] {handler},
                 (proxy, method, arguments) -> {
                     if (method.getName().equals("handle")) {
                         what.run();
