Rename Learnt to LearnedStateStore

It keeps the learned state of the decision module over a restart. The name of the folder and file in $TMPDIR stays, and so do the lines in the log but for the class that they name.

--- a/src/main/java/badgermux/Learnt.java
+++ b/src/main/java/badgermux/LearnedStateStore.java
@@ -17,7 +17,7 @@
  * seconds in case we are killed, and at the end. A fleet whose dispatchers are all started anew would else know no run
  * time of any class, and send nothing to cold runners, while each of them gets a request a second.
  */
-final class Learnt {
+final class LearnedStateStore {
     /** How often it is kept, in microseconds: a kill loses so much of what was learnt. */
     private static final long EVERY = 2_000_000;
     /** How long the end waits for it at most, in microseconds: a write takes a millisecond or two. */
@@ -32,7 +32,7 @@
     private boolean failed;
 
     /** Reads what the process before left in {@code folder}, which may be null: then nothing is read or kept. */
-    Learnt(String folder, Config config) {
+    LearnedStateStore(String folder, Config config) {
         file = folder == null || folder.isBlank() ? null : new LearntFile(Path.of(folder,
             "badgermux-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_")), config.fingerprint());
         before = file == null ? null : file.read(System.currentTimeMillis());
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -49,7 +49,7 @@
     private Deadlines deadlines;
     private Operators operators;
     private OnCall onCall;
-    private Learnt learnt;
+    private LearnedStateStore learnt;
     private Future<?> alarm;
     /** The counters, as the end has them. */
     private volatile String printed = "";
@@ -87,7 +87,7 @@
         operators = options == null ? null : new Operators(options, loop, clock::now);
         ZonePolicy zones = operators == null ? null : operators.zones(config.zones(), config.settings());
         // An upgrade's process is told by the one that still serves.
-        learnt = new Learnt(config.inherits() ? null : environment.get("TMPDIR"), config);
+        learnt = new LearnedStateStore(config.inherits() ? null : environment.get("TMPDIR"), config);
         CompletableFuture<ChannelFuture> front = new CompletableFuture<>();
         // Before clients are let in: what they hand in is answered, however soon SIGTERM comes.
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
