--- a/src/main/java/badgermux/OnCall.java
+++ b/src/main/java/badgermux/OperatorConsole.java
@@ -26,7 +26,7 @@
 import org.tinylog.Logger;
 
 /** Joins what operators call with what they call for: the console, the runners cordoned, and where those are kept. */
-final class OnCall implements Desk {
+final class OperatorConsole implements Desk {
     /** Keeps a call. */
     private interface Keeping {
         void keep(OutFolder folder) throws IOException;
@@ -59,7 +59,7 @@
      * @param folder  $TMPDIR; null where nothing can be kept
      * @param fingerprint of all settings
      */
-    OnCall(String name, long coldFor, String folder, EventLoopGroup loop, Clock clock, String fingerprint) {
+    OperatorConsole(String name, long coldFor, String folder, EventLoopGroup loop, Clock clock, String fingerprint) {
         this.loop = loop;
         this.clock = clock;
         cordons = new Cordons(coldFor);
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -48,7 +48,7 @@
     private Metrics metrics;
     private Deadlines deadlines;
     private Operators operators;
-    private OnCall onCall;
+    private OperatorConsole onCall;
     private LearnedStateStore learnt;
     private Future<?> alarm;
     /** The counters, as the end has them. */
@@ -82,7 +82,7 @@
         metrics = new Metrics(config.settings().classes.stream().map(Dispatch.JobClass::name).toList());
         deadlines = new Deadlines(clock::now, this::alarm, metrics);
         onCall = config.admin() == null ? null
-            : new OnCall(config.name(), config.settings().coldFor, environment.get("TMPDIR"), loop, clock,
+            : new OperatorConsole(config.name(), config.settings().coldFor, environment.get("TMPDIR"), loop, clock,
                 config.fingerprint());
         operators = options == null ? null : new Operators(options, loop, clock::now);
         ZonePolicy zones = operators == null ? null : operators.zones(config.zones(), config.settings());
