--- a/src/main/java/badgermux/Operators.java
+++ b/src/main/java/badgermux/AdminService.java
@@ -28,7 +28,7 @@
 import org.tinylog.Logger;
 
 /** Joins what operators set: the snapshot, the admin API and the subsystems behind it. A plain start has none of it. */
-final class Operators {
+final class AdminService {
     private static final int SHORTEST_TOKEN = 16;
 
     private final InetSocketAddress at;
@@ -39,7 +39,7 @@
     private AdminServer server;
 
     /** Reads the options and the snapshot; what can't be used ends the start. */
-    Operators(ServeOptions options, EventLoopGroup loop, LongSupplier clock) throws ConfigException {
+    AdminService(ServeOptions options, EventLoopGroup loop, LongSupplier clock) throws ConfigException {
         this.loop = loop;
         at = options.admin() == null ? null : Address.parse(options.admin());
         if (options.admin() != null && at == null) {
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -47,7 +47,7 @@
     private final ServeOptions options;
     private Metrics metrics;
     private Deadlines deadlines;
-    private Operators operators;
+    private AdminService operators;
     private OperatorConsole onCall;
     private LearnedStateStore learnt;
     private Future<?> alarm;
@@ -84,7 +84,7 @@
         onCall = config.admin() == null ? null
             : new OperatorConsole(config.name(), config.settings().coldFor, environment.get("TMPDIR"), loop, clock,
                 config.fingerprint());
-        operators = options == null ? null : new Operators(options, loop, clock::now);
+        operators = options == null ? null : new AdminService(options, loop, clock::now);
         ZonePolicy zones = operators == null ? null : operators.zones(config.zones(), config.settings());
         // An upgrade's process is told by the one that still serves.
         learnt = new LearnedStateStore(config.inherits() ? null : environment.get("TMPDIR"), config);
