--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -47,9 +47,9 @@
     private final ServeOptions options;
     private Metrics metrics;
     private Deadlines deadlines;
-    private AdminService operators;
-    private OperatorConsole onCall;
-    private LearnedStateStore learnt;
+    private AdminService adminService;
+    private OperatorConsole console;
+    private LearnedStateStore learnedState;
     private Future<?> alarm;
     /** The counters, as the end has them. */
     private volatile String printed = "";
@@ -81,13 +81,13 @@
         ServerSocketChannel held = config.inherits() ? inherited() : null;
         metrics = new Metrics(config.settings().classes.stream().map(Dispatch.JobClass::name).toList());
         deadlines = new Deadlines(clock::now, this::alarm, metrics);
-        onCall = config.admin() == null ? null
+        console = config.admin() == null ? null
             : new OperatorConsole(config.name(), config.settings().coldFor, environment.get("TMPDIR"), loop, clock,
                 config.fingerprint());
-        operators = options == null ? null : new AdminService(options, loop, clock::now);
-        ZonePolicy zones = operators == null ? null : operators.zones(config.zones(), config.settings());
+        adminService = options == null ? null : new AdminService(options, loop, clock::now);
+        ZonePolicy zones = adminService == null ? null : adminService.zones(config.zones(), config.settings());
         // An upgrade's process is told by the one that still serves.
-        learnt = new LearnedStateStore(config.inherits() ? null : environment.get("TMPDIR"), config);
+        learnedState = new LearnedStateStore(config.inherits() ? null : environment.get("TMPDIR"), config);
         CompletableFuture<ChannelFuture> front = new CompletableFuture<>();
         // Before clients are let in: what they hand in is answered, however soon SIGTERM comes.
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
@@ -105,8 +105,8 @@
     private void serve(Config config, CompletableFuture<ChannelFuture> front) throws ConfigException, InterruptedException {
         try {
             await("GW_LISTEN (listen)", front.get());
-            if (onCall != null) {
-                ChannelFuture bound = loop.submit(() -> onCall.listen(config.admin())).get();
+            if (console != null) {
+                ChannelFuture bound = loop.submit(() -> console.listen(config.admin())).get();
                 await("GW_ADMIN (admin)", bound);
                 Logger.info("operators call on {}", bound.channel().localAddress());
             }
@@ -143,10 +143,10 @@
                 front.completeExceptionally(e);
             }
         };
-        if (onCall == null || held == null) {
+        if (console == null || held == null) {
             start.accept(config.known());
         } else {
-            onCall.upgrade().follow(deadlines, listing ->
+            console.upgrade().follow(deadlines, listing ->
                 start.accept(listing == null ? config.known() : ListDecoder.Listing.newer(config.known(), listing)));
         }
     }
@@ -156,26 +156,26 @@
             throw new IllegalStateException("ended before clients were let in");
         }
         Dispatch.Settings settings = config.settings();
-        Room room = Room.of(config.sockets(), onCall != null);
+        Room room = Room.of(config.sockets(), console != null);
         Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, settings.maxAttempts);
         Backends backends = new Backends(loop, deadlines, clock::now, metrics, engine, config.connectTimeout(),
             settings.connectionIdle, room.toBackends(), settings.reports == Dispatch.ReportMode.ON_PROBE);
         discovery = new Discovery(loop, deadlines, clock, metrics, engine, backends, config.discovery(),
             known, config.zones(), config.kinds(), zones == null ? null : zones::guard,
-            onCall == null ? null : onCall.cordons(), settings.listPushed);
+            console == null ? null : console.cordons(), settings.listPushed);
         front = new Front(clock::now, deadlines, metrics, engine, settings, discovery::isListed, room.clients(),
             room.overCap(), ((long) config.memoryMb() << 20) / HELD_PART,
-            operators == null ? null : operators.gate(metrics));
+            adminService == null ? null : adminService.gate(metrics));
         engine.join(new Dispatcher(settings, config.seed(), engine, zones), backends, discovery::watch);
         discovery.start();
-        learnt.join(engine, deadlines);
-        if (operators != null) {
-            operators.listen(deadlines, metrics);
+        learnedState.join(engine, deadlines);
+        if (adminService != null) {
+            adminService.listen(deadlines, metrics);
         }
         ChannelFuture listening = held == null ? front.listen(loop, config.listen())
-            : front.listen(loop, held, onCall == null || !onCall.upgrade().follows());
-        if (onCall != null) {
-            onCall.join(discovery, front, backends, engine, deadlines, metrics, config.sockets());
+            : front.listen(loop, held, console == null || !console.upgrade().follows());
+        if (console != null) {
+            console.join(discovery, front, backends, engine, deadlines, metrics, config.sockets());
         }
         return listening;
     }
@@ -234,8 +234,8 @@
             return;
         }
         ended = true;
-        if (onCall != null && front != null) {
-            onCall.upgrade().ending();
+        if (console != null && front != null) {
+            console.upgrade().ending();
         }
         if (front == null) {
             quiet.countDown();      // nobody was let in yet, and nobody is from here on
@@ -245,13 +245,13 @@
     }
 
     private void drained() {
-        if (operators != null) {
-            operators.close();
+        if (adminService != null) {
+            adminService.close();
         }
-        if (onCall != null) {
-            onCall.close();
+        if (console != null) {
+            console.close();
         }
         printed = metrics.text();
-        learnt.end(deadlines, quiet::countDown);
+        learnedState.end(deadlines, quiet::countDown);
     }
 }
