--- a/src/main/java/badgermux/Upgrade.java
+++ b/src/main/java/badgermux/Upgrade.java
@@ -11,7 +11,7 @@
 import badgermux.cordon.Cordons;
 import badgermux.http.Address;
 import badgermux.upgrade.Held;
-import badgermux.upgrade.Heritages;
+import badgermux.upgrade.LearnedStateCodec;
 import badgermux.upgrade.Link;
 import badgermux.upgrade.Succession;
 import io.netty.bootstrap.Bootstrap;
@@ -264,7 +264,7 @@
             case "SERVING" -> handOver(link);
             case "LEFT" -> {
                 succession.handedOver();
-                engine.inherit(Heritages.decode(line.substring(parts[0].length()), fingerprint));
+                engine.inherit(LearnedStateCodec.decode(line.substring(parts[0].length()), fingerprint));
             }
             case "OPEN" -> {
                 if (link == before) {
@@ -326,7 +326,7 @@
             // What is left to answer here needs no cold runner; their budget is the next process's.
             cordons.restCold(clock.now());
             discovery.allSeenAnew();
-            to.send("LEFT " + Heritages.encode(engine.leave(), fingerprint));
+            to.send("LEFT " + LearnedStateCodec.encode(engine.leave(), fingerprint));
             front.handOver();
             Logger.info("handed over: the next process serves");
         }
--- a/src/main/java/badgermux/upgrade/Heritages.java
+++ b/src/main/java/badgermux/upgrade/LearnedStateCodec.java
@@ -11,8 +11,8 @@
 import java.util.List;
 
 /** What the module of one process leaves to that of the next, as one line of JSON. */
-public final class Heritages {
-    private Heritages() { }
+public final class LearnedStateCodec {
+    private LearnedStateCodec() { }
 
     /** The line, without its end; {@code of} is the fingerprint of the settings that it was learnt under. */
     public static String encode(Heritage left, String of) {
--- a/src/main/java/badgermux/upgrade/LearntFile.java
+++ b/src/main/java/badgermux/upgrade/LearntFile.java
@@ -12,7 +12,7 @@
 
 /**
  * What the module has learnt, kept for the process that is started after this one: two lines, of what it was learnt and
- * when, and the {@link Heritages heritage}. The file is replaced whole, so that a crash leaves the one before. Used by
+ * when, and the {@link LearnedStateCodec heritage}. The file is replaced whole, so that a crash leaves the one before. Used by
  * one thread at a time, which may block.
  */
 public final class LearntFile {
@@ -52,7 +52,7 @@
             if (lines.length < 2 || !head.get("of").getAsString().equals(of) || age < 0 || age > MOST_AGE) {
                 return null;
             }
-            Heritage left = Heritages.decode(lines[1], of);
+            Heritage left = LearnedStateCodec.decode(lines[1], of);
             return head.get("ended").getAsBoolean() ? left : new Heritage(left.learnt(), null);
         } catch (IOException | RuntimeException e) {
             // Guards against a start that fails for it: nothing is learnt from a file that can't be read.
@@ -75,7 +75,7 @@
         head.addProperty("ended", ended);
         Files.createDirectories(file.getParent());
         Path next = file.resolveSibling("learnt.new");
-        Files.write(next, (head + "\n" + Heritages.encode(left, of) + "\n").getBytes(StandardCharsets.UTF_8));
+        Files.write(next, (head + "\n" + LearnedStateCodec.encode(left, of) + "\n").getBytes(StandardCharsets.UTF_8));
         Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 }
--- a/src/test/java/badgermux/upgrade/SuccessionTest.java
+++ b/src/test/java/badgermux/upgrade/SuccessionTest.java
@@ -56,10 +56,10 @@
 
     @Test void aHeritageComesAsItWent() {
         Heritage left = new Heritage(new double[] {1.5, 0, Double.NaN, -2e9}, List.of(new Push(-7, 1L << 60, 0.25)));
-        Heritage came = Heritages.decode(Heritages.encode(left, "f"), "f");
+        Heritage came = LearnedStateCodec.decode(LearnedStateCodec.encode(left, "f"), "f");
         assertArrayEquals(new double[] {1.5, 0, 0, -2e9}, came.learnt());
         assertEquals(left.pushes(), came.pushes());
-        assertThrows(JsonParseException.class, () -> Heritages.decode(Heritages.encode(left, "f"), "g"), "other settings");
+        assertThrows(JsonParseException.class, () -> LearnedStateCodec.decode(LearnedStateCodec.encode(left, "f"), "g"), "other settings");
     }
 
     @Test void whatAProcessHoldsComesAsItWent() {
@@ -73,6 +73,6 @@
 
     @ParameterizedTest @ValueSource(strings = {"", "[]", "{}", "{\"learnt\":[1],\"pushes\":[[1]]}", "{\"learnt\":[\"x\"],\"pushes\":[]}"})
     void whatIsNoneIsToldSo(String line) {
-        assertThrows(JsonParseException.class, () -> Heritages.decode(line, "f"));
+        assertThrows(JsonParseException.class, () -> LearnedStateCodec.decode(line, "f"));
     }
 }
