--- a/src/main/java/badgermux/LearnedStateStore.java
+++ b/src/main/java/badgermux/LearnedStateStore.java
@@ -4,7 +4,7 @@
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
 import badgermux.decide.Dispatch.Heritage;
-import badgermux.upgrade.LearntFile;
+import badgermux.upgrade.LearnedStateFile;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.ExecutorService;
@@ -23,7 +23,7 @@
     /** How long the end waits for it at most, in microseconds: a write takes a millisecond or two. */
     private static final long LAST = 200_000;
 
-    private final LearntFile file;
+    private final LearnedStateFile file;
     private final Heritage before;
     /** The event loop waits for no disk. */
     private final ExecutorService writer;
@@ -33,7 +33,7 @@
 
     /** Reads what the process before left in {@code folder}, which may be null: then nothing is read or kept. */
     LearnedStateStore(String folder, Config config) {
-        file = folder == null || folder.isBlank() ? null : new LearntFile(Path.of(folder,
+        file = folder == null || folder.isBlank() ? null : new LearnedStateFile(Path.of(folder,
             "badgermux-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_")), config.fingerprint());
         before = file == null ? null : file.read(System.currentTimeMillis());
         writer = file == null ? null : Executors.newSingleThreadExecutor(work -> {
--- a/src/main/java/badgermux/upgrade/LearntFile.java
+++ b/src/main/java/badgermux/upgrade/LearnedStateFile.java
@@ -15,7 +15,7 @@
  * when, and the {@link LearnedStateCodec heritage}. The file is replaced whole, so that a crash leaves the one before. Used by
  * one thread at a time, which may block.
  */
-public final class LearntFile {
+public final class LearnedStateFile {
     /** Free slots and loads of a minute ago tell nothing; in milliseconds. */
     static final long MOST_AGE = 60_000;
     /** More than any heritage takes; a larger file is none of ours. */
@@ -30,7 +30,7 @@
      * @param folder where it is kept, made when it is first written
      * @param of     the fingerprint of all settings: what was learnt under others is not read
      */
-    public LearntFile(Path folder, String of) {
+    public LearnedStateFile(Path folder, String of) {
         file = folder.resolve("learnt");
         this.of = of;
     }
--- a/src/test/java/badgermux/upgrade/LearntFileTest.java
+++ b/src/test/java/badgermux/upgrade/LearnedStateFileTest.java
@@ -13,14 +13,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-class LearntFileTest {
+class LearnedStateFileTest {
     private static final Heritage LEFT = new Heritage(new double[] {2.5, 7}, List.of(new Push(9, 5, 1)));
     private static final long NOW = 1_000_000;
 
     @TempDir private Path folder;
 
     @Test void whatWasKeptComesBackAndWhoWasKilledLeavesNoPushes() throws IOException {
-        LearntFile file = new LearntFile(folder.resolve("n"), "[a] on [k]");
+        LearnedStateFile file = new LearnedStateFile(folder.resolve("n"), "[a] on [k]");
         assertNull(file.read(NOW), "there is none yet");
         file.write(LEFT, false, NOW);
         assertArrayEquals(LEFT.learnt(), file.read(NOW + 1).learnt());
@@ -30,11 +30,11 @@
     }
 
     @Test void whatIsOldOfOtherClassesOrSpoiltIsNotRead() throws IOException {
-        LearntFile file = new LearntFile(folder.resolve("n"), "[a] on [k]");
+        LearnedStateFile file = new LearnedStateFile(folder.resolve("n"), "[a] on [k]");
         file.write(LEFT, true, NOW);
-        assertNull(file.read(NOW + LearntFile.MOST_AGE + 1));
+        assertNull(file.read(NOW + LearnedStateFile.MOST_AGE + 1));
         assertNull(file.read(NOW - 1), "from the future");
-        assertNull(new LearntFile(folder.resolve("n"), "[b] on [k]").read(NOW));
+        assertNull(new LearnedStateFile(folder.resolve("n"), "[b] on [k]").read(NOW));
         Path kept = folder.resolve("n").resolve("learnt");
         String whole = Files.readString(kept);
         for (int length = 0; length < whole.length() - 2; length += 3) {
