--- a/src/main/java/badgermux/Upgrade.java
+++ b/src/main/java/badgermux/Upgrade.java
@@ -13,7 +13,7 @@
 import badgermux.upgrade.Held;
 import badgermux.upgrade.LearnedStateCodec;
 import badgermux.upgrade.Link;
-import badgermux.upgrade.Succession;
+import badgermux.upgrade.HandoverReadiness;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -51,7 +51,7 @@
     private final String fingerprint;
     private final Path address;
     private final Executor writer;
-    private final Succession succession = new Succession();
+    private final HandoverReadiness readiness = new HandoverReadiness();
     private final String secret = secret();
     private Deadlines deadlines;
     private Discovery discovery;
@@ -113,7 +113,7 @@
     /** The console listens now. */
     void callable() {
         // Guards against a next process that finds nobody to ask: this one may serve before it listens for calls.
-        if (before == null || succession.isServing()) {
+        if (before == null || readiness.isServing()) {
             writeAddress();
         }
     }
@@ -125,7 +125,7 @@
 
     /** Why the process before may not be ended yet; null where it may. */
     String notYet() {
-        return succession.notYet(clock.now());
+        return readiness.notYet(clock.now());
     }
 
     /** Tells the others of a call. */
@@ -230,8 +230,8 @@
         if (before == null && after == null) {
             return;
         }
-        if (before != null && !succession.isServing() && following == null && front.notReady() == null) {
-            succession.serving();
+        if (before != null && !readiness.isServing() && following == null && front.notReady() == null) {
+            readiness.serving();
             front.takeBack();
             before.send("SERVING");
             writeAddress();
@@ -263,12 +263,12 @@
         switch (parts[0]) {
             case "SERVING" -> handOver(link);
             case "LEFT" -> {
-                succession.handedOver();
+                readiness.handedOver();
                 engine.inherit(LearnedStateCodec.decode(line.substring(parts[0].length()), fingerprint));
             }
             case "OPEN" -> {
                 if (link == before) {
-                    succession.open(Integer.parseInt(parts[1]));
+                    readiness.open(Integer.parseInt(parts[1]));
                 }
             }
             case "OUT" -> {
@@ -298,7 +298,7 @@
                 held.back().forEach((id, millis) -> back.put(id,
                     new Cordons.Absence(clock.fromUnixMillis(millis[0]), clock.fromUnixMillis(millis[1]))));
                 cordons.become(out, back);
-                succession.linked(startedAt());
+                readiness.linked(startedAt());
             }
         } catch (RuntimeException e) {
             listing = null;
@@ -335,14 +335,14 @@
     @Override public void ended(Link link) {
         if (link == before) {
             before = null;
-            succession.lost();
+            readiness.lost();
             if (following != null) {
                 Consumer<ListDecoder.Listing> then = following;
                 following = null;
                 then.accept(null);
                 return;
             }
-            if (!succession.isServing()) {
+            if (!readiness.isServing()) {
                 front.takeBack();
                 writeAddress();
             }
--- a/src/main/java/badgermux/upgrade/Succession.java
+++ b/src/main/java/badgermux/upgrade/HandoverReadiness.java
@@ -4,7 +4,7 @@
  * What a new process knows of the one before it, and whether that one may be ended. Pure: times in microseconds and news
  * come in. Without a process before it, it is ready by itself.
  */
-public final class Succession {
+public final class HandoverReadiness {
     /** The yes is due 6 s after a process's start: so long at most the jobs of the process before are waited for. */
     public static final long YES_BY = 4_800_000;
 
--- a/src/test/java/badgermux/upgrade/SuccessionTest.java
+++ b/src/test/java/badgermux/upgrade/HandoverReadinessTest.java
@@ -15,43 +15,43 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class SuccessionTest {
+class HandoverReadinessTest {
     private static final long START = 1_000_000;
 
     @Test void aloneItIsReadyAndWithOneBeforeItOnceThatHasNoJobs() {
-        Succession succession = new Succession();
-        assertNull(succession.notYet(START));
-        succession.linked(START);
-        succession.open(0);
-        assertNotNull(succession.notYet(START + 10), "told before it has handed over: jobs may still come to it");
-        succession.serving();
-        assertNotNull(succession.notYet(START + 10));
-        succession.open(0);
-        assertNotNull(succession.notYet(START + 10), "told before it knew that this one serves");
-        succession.handedOver();
-        succession.open(2);
-        assertNotNull(succession.notYet(START + 20));
-        succession.open(0);
-        assertNull(succession.notYet(START + 30));
+        HandoverReadiness readiness = new HandoverReadiness();
+        assertNull(readiness.notYet(START));
+        readiness.linked(START);
+        readiness.open(0);
+        assertNotNull(readiness.notYet(START + 10), "told before it has handed over: jobs may still come to it");
+        readiness.serving();
+        assertNotNull(readiness.notYet(START + 10));
+        readiness.open(0);
+        assertNotNull(readiness.notYet(START + 10), "told before it knew that this one serves");
+        readiness.handedOver();
+        readiness.open(2);
+        assertNotNull(readiness.notYet(START + 20));
+        readiness.open(0);
+        assertNull(readiness.notYet(START + 30));
     }
 
     @Test void theOneBeforeIsNotWaitedForForEver() {
-        Succession succession = new Succession();
-        succession.linked(START);
-        assertNotNull(succession.notYet(START + Succession.YES_BY), "who does not serve is not ready");
-        succession.serving();
-        succession.open(5);
-        assertNotNull(succession.notYet(START + Succession.YES_BY - 1));
-        assertNull(succession.notYet(START + Succession.YES_BY));
+        HandoverReadiness readiness = new HandoverReadiness();
+        readiness.linked(START);
+        assertNotNull(readiness.notYet(START + HandoverReadiness.YES_BY), "who does not serve is not ready");
+        readiness.serving();
+        readiness.open(5);
+        assertNotNull(readiness.notYet(START + HandoverReadiness.YES_BY - 1));
+        assertNull(readiness.notYet(START + HandoverReadiness.YES_BY));
     }
 
     @Test void itsEndMakesReady() {
-        Succession succession = new Succession();
-        succession.linked(START);
-        succession.serving();
-        succession.open(5);
-        succession.lost();
-        assertNull(succession.notYet(START));
+        HandoverReadiness readiness = new HandoverReadiness();
+        readiness.linked(START);
+        readiness.serving();
+        readiness.open(5);
+        readiness.lost();
+        assertNull(readiness.notYet(START));
     }
 
     @Test void aHeritageComesAsItWent() {
