--- a/src/main/java/badgermux/Upgrade.java
+++ b/src/main/java/badgermux/Upgrade.java
@@ -10,7 +10,7 @@
 import badgermux.front.Front;
 import badgermux.cordon.Cordons;
 import badgermux.http.Address;
-import badgermux.upgrade.Held;
+import badgermux.upgrade.HandoverState;
 import badgermux.upgrade.LearnedStateCodec;
 import badgermux.upgrade.Link;
 import badgermux.upgrade.HandoverReadiness;
@@ -219,7 +219,7 @@
         Map<String, long[]> back = new HashMap<>();
         cordons.back().forEach((id, absence) ->
             back.put(id, new long[] {clock.toUnixMillis(absence.from()), clock.toUnixMillis(absence.to())}));
-        after.send(TOLD + new Held(discovery.held(), out, back).encode());
+        after.send(TOLD + new HandoverState(discovery.held(), out, back).encode());
         Logger.info("the next process is here");
         beat();
     }
@@ -290,7 +290,7 @@
         ListDecoder.Listing listing = null;
         try {
             if (line.startsWith(TOLD)) {
-                Held held = Held.decode(line.substring(TOLD.length()));
+                HandoverState held = HandoverState.decode(line.substring(TOLD.length()));
                 listing = ListDecoder.decode(held.list());
                 Map<String, Long> out = new HashMap<>();
                 held.out().forEach((id, millis) -> out.put(id, clock.fromUnixMillis(millis)));
--- a/src/main/java/badgermux/upgrade/Held.java
+++ b/src/main/java/badgermux/upgrade/HandoverState.java
@@ -15,7 +15,7 @@
  * @param out  the runners cordoned, and since when, as Unix time in milliseconds
  * @param back those that came back lately: since when they had been out, and when they came back
  */
-public record Held(String list, Map<String, Long> out, Map<String, long[]> back) {
+public record HandoverState(String list, Map<String, Long> out, Map<String, long[]> back) {
     /** The line, without its end. */
     public String encode() {
         JsonObject line = new JsonObject();
@@ -35,7 +35,7 @@
     }
 
     /** What {@link #encode} made the line of; an exception where it made none such. */
-    public static Held decode(String line) {
+    public static HandoverState decode(String line) {
         try {
             JsonObject from = JsonParser.parseString(line).getAsJsonObject();
             Map<String, Long> out = new HashMap<>();
@@ -47,7 +47,7 @@
                 JsonArray two = runner.getValue().getAsJsonArray();
                 back.put(runner.getKey(), new long[] {two.get(0).getAsLong(), two.get(1).getAsLong()});
             }
-            return new Held(from.getAsJsonObject("list").toString(), out, back);
+            return new HandoverState(from.getAsJsonObject("list").toString(), out, back);
         } catch (RuntimeException e) {
             throw new JsonParseException("nothing that a process holds: " + e.getMessage());
         }
--- a/src/test/java/badgermux/upgrade/HandoverReadinessTest.java
+++ b/src/test/java/badgermux/upgrade/HandoverReadinessTest.java
@@ -63,12 +63,12 @@
     }
 
     @Test void whatAProcessHoldsComesAsItWent() {
-        Held held = new Held("{\"revision\":7}", Map.of("s-1", 5L), Map.of("s-2", new long[] {1, 2}));
-        Held came = Held.decode(held.encode());
+        HandoverState held = new HandoverState("{\"revision\":7}", Map.of("s-1", 5L), Map.of("s-2", new long[] {1, 2}));
+        HandoverState came = HandoverState.decode(held.encode());
         assertEquals(held.list(), came.list());
         assertEquals(held.out(), came.out());
         assertArrayEquals(new long[] {1, 2}, came.back().get("s-2"));
-        assertThrows(JsonParseException.class, () -> Held.decode("{\"list\":{},\"out\":{},\"back\":{\"s\":[1]}}"));
+        assertThrows(JsonParseException.class, () -> HandoverState.decode("{\"list\":{},\"out\":{},\"back\":{\"s\":[1]}}"));
     }
 
     @ParameterizedTest @ValueSource(strings = {"", "[]", "{}", "{\"learnt\":[1],\"pushes\":[[1]]}", "{\"learnt\":[\"x\"],\"pushes\":[]}"})
