--- a/src/main/java/badgermux/console/Caller.java
+++ b/src/main/java/badgermux/console/Caller.java
@@ -45,7 +45,7 @@
         // What comes behind a call is read and forgotten: a close with bytes unread would eat the answer on its way.
         while (!called && in.isReadable()) {
             byte b = in.readByte();
-            if (b == '\n' || line.size() > Call.MAX_LINE) {
+            if (b == '\n' || line.size() > ConsoleCommand.MAX_LINE) {
                 call();
             } else {
                 line.write(b);
@@ -69,7 +69,7 @@
         byte[] bytes = line.toByteArray();
         int length = bytes.length > 0 && bytes[bytes.length - 1] == '\r' ? bytes.length - 1 : bytes.length;
         try {
-            Call call = Call.parse(Arrays.copyOf(bytes, length));
+            ConsoleCommand call = ConsoleCommand.parse(Arrays.copyOf(bytes, length));
             console.metrics().add(Count.CONSOLE_CALLS);
             switch (call.word()) {
                 case HEALTH -> tell(console.desk().notReady(), "ready");
@@ -78,7 +78,7 @@
                 case TAKEOVER -> takeOver(call.id());
                 case ONLINE -> console.desk().putBack(call.id(), why -> tell(why, "back: " + call.id()));
             }
-        } catch (Call.NoCall e) {
+        } catch (ConsoleCommand.MalformedCommand e) {
             tell(e.getMessage(), null);
         }
     }
--- a/src/main/java/badgermux/console/Call.java
+++ b/src/main/java/badgermux/console/ConsoleCommand.java
@@ -9,7 +9,7 @@
  * @param word what is asked
  * @param id   the runner it is asked of; null where none is
  */
-public record Call(Word word, String id) {
+public record ConsoleCommand(Word word, String id) {
     /** What may be asked. */
     public enum Word {
         HEALTH(false), DUMP(false), OFFLINE(true), ONLINE(true),
@@ -24,10 +24,10 @@
     }
 
     /** A line that is no call; the message is the reason, in one line of plain text. */
-    public static final class NoCall extends Exception {
+    public static final class MalformedCommand extends Exception {
         private static final long serialVersionUID = 1L;
 
-        NoCall(String reason) {
+        MalformedCommand(String reason) {
             super(reason);
         }
     }
@@ -40,39 +40,39 @@
     /**
      * Reads a line without its end. Words may come in small letters too; blanks around and between them don't count.
      *
-     * @throws NoCall where it is too long or not plain ASCII, begins with no known word, or has an argument too many or
+     * @throws MalformedCommand where it is too long or not plain ASCII, begins with no known word, or has an argument too many or
      *     too few
      */
-    public static Call parse(byte[] line) throws NoCall {
+    public static ConsoleCommand parse(byte[] line) throws MalformedCommand {
         if (line.length > MAX_LINE) {
-            throw new NoCall("the line is longer than " + MAX_LINE + " bytes");
+            throw new MalformedCommand("the line is longer than " + MAX_LINE + " bytes");
         }
         for (byte b : line) {
             if (b < ' ' && b != '\t' || b == 127) {
-                throw new NoCall("the line holds bytes that are no plain text");
+                throw new MalformedCommand("the line holds bytes that are no plain text");
             }
         }
         String[] parts = new String(line, StandardCharsets.US_ASCII).strip().split("[ \t]+");
         Word word = word(parts[0]);
         if (parts.length > (word.ofRunner ? 2 : 1)) {
-            throw new NoCall(word + " has an argument too many");
+            throw new MalformedCommand(word + " has an argument too many");
         }
         if (parts.length < (word.ofRunner ? 2 : 1)) {
-            throw new NoCall(word + " needs " + (word == Word.TAKEOVER ? "a secret" : "the id of a runner"));
+            throw new MalformedCommand(word + " needs " + (word == Word.TAKEOVER ? "a secret" : "the id of a runner"));
         }
         String id = word.ofRunner ? parts[1] : null;
         if (id != null && id.length() > MAX_ID) {
-            throw new NoCall("no runner has an id of more than " + MAX_ID + " characters");
+            throw new MalformedCommand("no runner has an id of more than " + MAX_ID + " characters");
         }
-        return new Call(word, id);
+        return new ConsoleCommand(word, id);
     }
 
-    private static Word word(String text) throws NoCall {
+    private static Word word(String text) throws MalformedCommand {
         for (Word word : Word.values()) {
             if (word.name().equals(text.toUpperCase(Locale.ROOT))) {
                 return word;
             }
         }
-        throw new NoCall("the calls are HEALTH, DUMP, OFFLINE ID and ONLINE ID");
+        throw new MalformedCommand("the calls are HEALTH, DUMP, OFFLINE ID and ONLINE ID");
     }
 }
--- a/src/test/java/badgermux/console/CallTest.java
+++ b/src/test/java/badgermux/console/ConsoleCommandTest.java
@@ -12,33 +12,33 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class CallTest {
-    private static Call parse(String line) throws Call.NoCall {
-        return Call.parse(line.getBytes(StandardCharsets.ISO_8859_1));
+class ConsoleCommandTest {
+    private static ConsoleCommand parse(String line) throws ConsoleCommand.MalformedCommand {
+        return ConsoleCommand.parse(line.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     @ParameterizedTest @CsvSource({"HEALTH, HEALTH,", "' dump ', DUMP,", "OFFLINE s-0badcafe, OFFLINE, s-0badcafe",
         "'ONLINE\t  s:1.2', ONLINE, s:1.2"})
-    void callsAreRead(String line, Call.Word word, String id) throws Call.NoCall {
-        assertEquals(new Call(word, id), parse(line));
+    void callsAreRead(String line, ConsoleCommand.Word word, String id) throws ConsoleCommand.MalformedCommand {
+        assertEquals(new ConsoleCommand(word, id), parse(line));
     }
 
     @ParameterizedTest @ValueSource(strings = {"", " ", "FOO", "HEALTHY", "HEALTH now", "DUMP all", "OFFLINE", "ONLINE ",
         "OFFLINE a b", "OFFLINE \u0007", "HEALTH\r", "OFFLINE \u00e9", "\0"})
     void whatIsNoCallIsToldWhy(String line) {
-        assertTrue(assertThrows(Call.NoCall.class, () -> parse(line)).getMessage().matches("[ -~]{10,120}"));
+        assertTrue(assertThrows(ConsoleCommand.MalformedCommand.class, () -> parse(line)).getMessage().matches("[ -~]{10,120}"));
     }
 
-    @ParameterizedTest @ValueSource(ints = {Call.MAX_ID + 1, Call.MAX_LINE})
+    @ParameterizedTest @ValueSource(ints = {ConsoleCommand.MAX_ID + 1, ConsoleCommand.MAX_LINE})
     void longLinesAndIdsAreNone(int length) {
-        assertThrows(Call.NoCall.class, () -> parse("OFFLINE " + "x".repeat(length)));
+        assertThrows(ConsoleCommand.MalformedCommand.class, () -> parse("OFFLINE " + "x".repeat(length)));
     }
 
     @Property void anyBytesAreACallOrAReason(@ForAll @Size(max = 300) byte[] bytes) {
         try {
-            Call call = Call.parse(bytes);
+            ConsoleCommand call = ConsoleCommand.parse(bytes);
             assertTrue(call.id() == null || call.id().matches("[!-~]+"));
-        } catch (Call.NoCall e) {
+        } catch (ConsoleCommand.MalformedCommand e) {
             assertTrue(e.getMessage().matches("[ -~]+"));
         }
     }
