--- a/src/main/java/badgermux/console/Console.java
+++ b/src/main/java/badgermux/console/Console.java
@@ -28,8 +28,8 @@
     private final Desk desk;
     private int cap;
     /** Those that have no answer yet, the one that has waited longest first; then those that are heard out. */
-    private final LinkedHashSet<Caller> callers = new LinkedHashSet<>();
-    private final LinkedHashSet<Caller> leaving = new LinkedHashSet<>();
+    private final LinkedHashSet<ConsoleConnection> callers = new LinkedHashSet<>();
+    private final LinkedHashSet<ConsoleConnection> leaving = new LinkedHashSet<>();
     private Channel listener;
 
     /** Makes a console that does not listen yet; {@code cap} bounds how many callers there are at once. */
@@ -48,7 +48,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(new Caller(Console.this, channel));
+                    channel.pipeline().addLast(new ConsoleConnection(Console.this, channel));
                 }
             }).bind(at);
         listener = bound.channel();
@@ -73,9 +73,9 @@
     // ---- For its callers
 
     /** Guards against callers that hold all places with half a call: who comes gets the place of who waited longest. */
-    void opened(Caller caller) {
+    void opened(ConsoleConnection caller) {
         if (callers.size() + leaving.size() >= cap) {
-            Caller victim = (leaving.isEmpty() ? callers : leaving).iterator().next();
+            ConsoleConnection victim = (leaving.isEmpty() ? callers : leaving).iterator().next();
             metrics.add(Count.CONSOLE_CALLERS_EVICTED);
             closed(victim);
             victim.close();
@@ -83,13 +83,13 @@
         callers.add(caller);
     }
 
-    void leaves(Caller caller) {
+    void leaves(ConsoleConnection caller) {
         if (callers.remove(caller)) {
             leaving.add(caller);
         }
     }
 
-    void closed(Caller caller) {
+    void closed(ConsoleConnection caller) {
         callers.remove(caller);
         leaving.remove(caller);
     }
--- a/src/main/java/badgermux/console/Caller.java
+++ b/src/main/java/badgermux/console/ConsoleConnection.java
@@ -17,7 +17,7 @@
 import org.tinylog.Logger;
 
 /** An operator's connection: one line, in whatever pieces it comes, and its answer. */
-final class Caller extends ChannelInboundHandlerAdapter {
+final class ConsoleConnection extends ChannelInboundHandlerAdapter {
     private final Console console;
     private final SocketChannel channel;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(32);
@@ -25,7 +25,7 @@
     private boolean called;
     private boolean answered;
 
-    Caller(Console console, SocketChannel channel) {
+    ConsoleConnection(Console console, SocketChannel channel) {
         this.console = console;
         this.channel = channel;
     }
