--- a/src/main/java/badgermux/OperatorConsole.java
+++ b/src/main/java/badgermux/OperatorConsole.java
@@ -2,7 +2,7 @@
 
 import badgermux.backend.Backends;
 import badgermux.console.Console;
-import badgermux.console.Desk;
+import badgermux.console.CommandHandler;
 import badgermux.core.Clock;
 import badgermux.core.Deadlines;
 import badgermux.core.Engine;
@@ -26,7 +26,7 @@
 import org.tinylog.Logger;
 
 /** Joins what operators call with what they call for: the console, the runners cordoned, and where those are kept. */
-final class OperatorConsole implements Desk {
+final class OperatorConsole implements CommandHandler {
     /** Keeps a call. */
     private interface Keeping {
         void keep(OutFolder folder) throws IOException;
--- a/src/main/java/badgermux/console/Desk.java
+++ b/src/main/java/badgermux/console/CommandHandler.java
@@ -4,7 +4,7 @@
 import java.util.function.Consumer;
 
 /** What callers reach. Asked on the event loop, and told there what came of it. */
-public interface Desk {
+public interface CommandHandler {
     /** Why this process is not ready to serve; null where it is. */
     String notReady();
 
--- a/src/main/java/badgermux/console/Console.java
+++ b/src/main/java/badgermux/console/Console.java
@@ -25,7 +25,7 @@
     private final EventLoopGroup loop;
     private final Deadlines deadlines;
     private final Metrics metrics;
-    private final Desk desk;
+    private final CommandHandler handler;
     private int cap;
     /** Those that have no answer yet, the one that has waited longest first; then those that are heard out. */
     private final LinkedHashSet<ConsoleConnection> callers = new LinkedHashSet<>();
@@ -33,11 +33,11 @@
     private Channel listener;
 
     /** Makes a console that does not listen yet; {@code cap} bounds how many callers there are at once. */
-    public Console(EventLoopGroup loop, Deadlines deadlines, Metrics metrics, Desk desk, int cap) {
+    public Console(EventLoopGroup loop, Deadlines deadlines, Metrics metrics, CommandHandler handler, int cap) {
         this.loop = loop;
         this.deadlines = deadlines;
         this.metrics = metrics;
-        this.desk = desk;
+        this.handler = handler;
         this.cap = cap;
     }
 
@@ -94,8 +94,8 @@
         leaving.remove(caller);
     }
 
-    Desk desk() {
-        return desk;
+    CommandHandler handler() {
+        return handler;
     }
 
     Deadlines deadlines() {
--- a/src/main/java/badgermux/console/ConsoleConnection.java
+++ b/src/main/java/badgermux/console/ConsoleConnection.java
@@ -72,11 +72,11 @@
             ConsoleCommand call = ConsoleCommand.parse(Arrays.copyOf(bytes, length));
             console.metrics().add(Count.CONSOLE_CALLS);
             switch (call.word()) {
-                case HEALTH -> tell(console.desk().notReady(), "ready");
-                case DUMP -> answer("200 figures follow\n" + console.desk().figures() + "EOF\n");
-                case OFFLINE -> console.desk().takeOut(call.id(), why -> tell(why, "out: " + call.id()));
+                case HEALTH -> tell(console.handler().notReady(), "ready");
+                case DUMP -> answer("200 figures follow\n" + console.handler().figures() + "EOF\n");
+                case OFFLINE -> console.handler().takeOut(call.id(), why -> tell(why, "out: " + call.id()));
                 case TAKEOVER -> takeOver(call.id());
-                case ONLINE -> console.desk().putBack(call.id(), why -> tell(why, "back: " + call.id()));
+                case ONLINE -> console.handler().putBack(call.id(), why -> tell(why, "back: " + call.id()));
             }
         } catch (ConsoleCommand.MalformedCommand e) {
             tell(e.getMessage(), null);
@@ -84,7 +84,7 @@
     }
 
     private void takeOver(String secret) {
-        ChannelHandler next = console.desk().takeOver(secret);
+        ChannelHandler next = console.handler().takeOver(secret);
         if (next == null) {
             tell("that is not the secret of this process", null);
             return;
@@ -92,7 +92,7 @@
         console.deadlines().cancel(limit);
         console.closed(this);
         channel.pipeline().replace(this, "link", next);
-        console.desk().takenOver(next);
+        console.handler().takenOver(next);
     }
 
     private void tell(String no, String yes) {
