Heads: a request line's target is looked through without a stream

Cause: the lambda of Head.requestLine was the last one in that class; since isToken has none its number in deploy/classes.lst was stale, and a start made the class anew (one class more that was not in the archive: 14 in place of 13).

HeadTest lists request lines, good and malformed: 30 tests passed, and MessageReaderTest 50.

--- a/src/main/java/badgermux/http/Head.java
+++ b/src/main/java/badgermux/http/Head.java
@@ -113,13 +113,22 @@
     public String[] requestLine() throws BadMessage {
         String[] words = first.split(" ", -1);
         boolean version = words.length == 3 && words[2].equals("HTTP/1.1");
-        boolean visible = words.length > 1 && words[1].chars().allMatch(c -> c > ' ' && c != 127);
+        boolean visible = words.length > 1 && isVisible(words[1]);
         if (!version || !visible || !isToken(words[0]) || words[0].isEmpty() || words[1].isEmpty()) {
             throw new BadMessage(400, "malformed request line");
         }
         return words;
     }
 
+    private static boolean isVisible(String target) {
+        for (int i = 0; i < target.length(); i++) {
+            if (target.charAt(i) <= ' ' || target.charAt(i) == 127) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** The status of a response line. */
     public int status() throws BadMessage {
         if (!STATUS_LINE.matcher(first).matches()) {
--- a/src/test/java/badgermux/http/HeadTest.java
+++ b/src/test/java/badgermux/http/HeadTest.java
@@ -63,4 +63,16 @@
         Head head = Head.parse(line);
         assertEquals(502, assertThrows(BadMessage.class, head::status).status());
     }
+
+    @ParameterizedTest @ValueSource(strings = {"GET / HTTP/1.1", "POST /a%20b?c=\u00e9 HTTP/1.1", "M-SEARCH * HTTP/1.1"})
+    void aRequestLineHasThreeWords(String line) throws BadMessage {
+        assertEquals(line, String.join(" ", Head.parse(line).requestLine()));
+    }
+
+    @ParameterizedTest @ValueSource(strings = {"", "GET", "GET /", "GET  HTTP/1.1", "GET / HTTP/1.0", "GET / HTTP/2", " / HTTP/1.1",
+        "GET /\u0001 HTTP/1.1", "GET /\u007f HTTP/1.1", "GET /\ta HTTP/1.1", "G(T / HTTP/1.1", "GET / HTTP/1.1 x"})
+    void anyOtherRequestLineIsMalformed(String line) throws BadMessage {
+        Head head = Head.parse(line);
+        assertEquals(400, assertThrows(BadMessage.class, head::requestLine).status());
+    }
 }
