--- a/src/main/java/badgermux/Upgrade.java
+++ b/src/main/java/badgermux/Upgrade.java
@@ -10,10 +10,10 @@
 import badgermux.front.Front;
 import badgermux.cordon.Cordons;
 import badgermux.http.Address;
-import badgermux.upgrade.Held;
-import badgermux.upgrade.Heritages;
+import badgermux.upgrade.HandoverState;
+import badgermux.upgrade.LearnedStateCodec;
 import badgermux.upgrade.Link;
-import badgermux.upgrade.Succession;
+import badgermux.upgrade.HandoverReadiness;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -51,7 +51,7 @@
     private final String fingerprint;
     private final Path address;
     private final Executor writer;
-    private final Succession succession = new Succession();
+    private final HandoverReadiness readiness = new HandoverReadiness();
     private final String secret = secret();
     private Deadlines deadlines;
     private Discovery discovery;
@@ -113,7 +113,7 @@
     /** The console listens now. */
     void callable() {
         // Guards against a next process that finds nobody to ask: this one may serve before it listens for calls.
-        if (before == null || succession.isServing()) {
+        if (before == null || readiness.isServing()) {
             writeAddress();
         }
     }
@@ -125,7 +125,7 @@
 
     /** Why the process before may not be ended yet; null where it may. */
     String notYet() {
-        return succession.notYet(clock.now());
+        return readiness.notYet(clock.now());
     }
 
     /** Tells the others of a call. */
@@ -219,7 +219,7 @@
         Map<String, long[]> back = new HashMap<>();
         cordons.back().forEach((id, absence) ->
             back.put(id, new long[] {clock.toUnixMillis(absence.from()), clock.toUnixMillis(absence.to())}));
-        after.send(TOLD + new Held(discovery.held(), out, back).encode());
+        after.send(TOLD + new HandoverState(discovery.held(), out, back).encode());
         Logger.info("the next process is here");
         beat();
     }
@@ -230,8 +230,8 @@
         if (before == null && after == null) {
             return;
         }
-        if (before != null && !succession.isServing() && following == null && front.notReady() == null) {
-            succession.serving();
+        if (before != null && !readiness.isServing() && following == null && front.notReady() == null) {
+            readiness.serving();
             front.takeBack();
             before.send("SERVING");
             writeAddress();
@@ -263,12 +263,12 @@
         switch (parts[0]) {
             case "SERVING" -> handOver(link);
             case "LEFT" -> {
-                succession.handedOver();
-                engine.inherit(Heritages.decode(line.substring(parts[0].length()), fingerprint));
+                readiness.handedOver();
+                engine.inherit(LearnedStateCodec.decode(line.substring(parts[0].length()), fingerprint));
             }
             case "OPEN" -> {
                 if (link == before) {
-                    succession.open(Integer.parseInt(parts[1]));
+                    readiness.open(Integer.parseInt(parts[1]));
                 }
             }
             case "OUT" -> {
@@ -290,7 +290,7 @@
         ListDecoder.Listing listing = null;
         try {
             if (line.startsWith(TOLD)) {
-                Held held = Held.decode(line.substring(TOLD.length()));
+                HandoverState held = HandoverState.decode(line.substring(TOLD.length()));
                 listing = ListDecoder.decode(held.list());
                 Map<String, Long> out = new HashMap<>();
                 held.out().forEach((id, millis) -> out.put(id, clock.fromUnixMillis(millis)));
@@ -298,7 +298,7 @@
                 held.back().forEach((id, millis) -> back.put(id,
                     new Cordons.Absence(clock.fromUnixMillis(millis[0]), clock.fromUnixMillis(millis[1]))));
                 cordons.become(out, back);
-                succession.linked(startedAt());
+                readiness.linked(startedAt());
             }
         } catch (RuntimeException e) {
             listing = null;
@@ -326,7 +326,7 @@
             // What is left to answer here needs no cold runner; their budget is the next process's.
             cordons.restCold(clock.now());
             discovery.allSeenAnew();
-            to.send("LEFT " + Heritages.encode(engine.leave(), fingerprint));
+            to.send("LEFT " + LearnedStateCodec.encode(engine.leave(), fingerprint));
             front.handOver();
             Logger.info("handed over: the next process serves");
         }
@@ -335,14 +335,14 @@
     @Override public void ended(Link link) {
         if (link == before) {
             before = null;
-            succession.lost();
+            readiness.lost();
             if (following != null) {
                 Consumer<ListDecoder.Listing> then = following;
                 following = null;
                 then.accept(null);
                 return;
             }
-            if (!succession.isServing()) {
+            if (!readiness.isServing()) {
                 front.takeBack();
                 writeAddress();
             }
--- a/src/main/java/badgermux/console/Caller.java
+++ b/src/main/java/badgermux/console/ConsoleConnection.java
@@ -17,7 +17,7 @@
 import org.tinylog.Logger;
 
 /** An operator's connection: one line, in whatever pieces it comes, and its answer. */
-final class Caller extends ChannelInboundHandlerAdapter {
+final class ConsoleConnection extends ChannelInboundHandlerAdapter {
     private final Console console;
     private final SocketChannel channel;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(32);
@@ -25,7 +25,7 @@
     private boolean called;
     private boolean answered;
 
-    Caller(Console console, SocketChannel channel) {
+    ConsoleConnection(Console console, SocketChannel channel) {
         this.console = console;
         this.channel = channel;
     }
@@ -45,7 +45,7 @@
         // What comes behind a call is read and forgotten: a close with bytes unread would eat the answer on its way.
         while (!called && in.isReadable()) {
             byte b = in.readByte();
-            if (b == '\n' || line.size() > Call.MAX_LINE) {
+            if (b == '\n' || line.size() > ConsoleCommand.MAX_LINE) {
                 call();
             } else {
                 line.write(b);
@@ -69,22 +69,22 @@
         byte[] bytes = line.toByteArray();
         int length = bytes.length > 0 && bytes[bytes.length - 1] == '\r' ? bytes.length - 1 : bytes.length;
         try {
-            Call call = Call.parse(Arrays.copyOf(bytes, length));
+            ConsoleCommand call = ConsoleCommand.parse(Arrays.copyOf(bytes, length));
             console.metrics().add(Count.CONSOLE_CALLS);
             switch (call.word()) {
-                case HEALTH -> tell(console.desk().notReady(), "ready");
-                case DUMP -> answer("200 figures follow\n" + console.desk().figures() + "EOF\n");
-                case OFFLINE -> console.desk().takeOut(call.id(), why -> tell(why, "out: " + call.id()));
+                case HEALTH -> tell(console.handler().notReady(), "ready");
+                case DUMP -> answer("200 figures follow\n" + console.handler().figures() + "EOF\n");
+                case OFFLINE -> console.handler().takeOut(call.id(), why -> tell(why, "out: " + call.id()));
                 case TAKEOVER -> takeOver(call.id());
-                case ONLINE -> console.desk().putBack(call.id(), why -> tell(why, "back: " + call.id()));
+                case ONLINE -> console.handler().putBack(call.id(), why -> tell(why, "back: " + call.id()));
             }
-        } catch (Call.NoCall e) {
+        } catch (ConsoleCommand.MalformedCommand e) {
             tell(e.getMessage(), null);
         }
     }
 
     private void takeOver(String secret) {
-        ChannelHandler next = console.desk().takeOver(secret);
+        ChannelHandler next = console.handler().takeOver(secret);
         if (next == null) {
             tell("that is not the secret of this process", null);
             return;
@@ -92,7 +92,7 @@
         console.deadlines().cancel(limit);
         console.closed(this);
         channel.pipeline().replace(this, "link", next);
-        console.desk().takenOver(next);
+        console.handler().takenOver(next);
     }
 
     private void tell(String no, String yes) {
