Front: a failed accept is a pause of 20 ms, not Netty's second

Cause: Netty's ServerBootstrapAcceptor stops accepting for 1 s behind a failed accept and goes on then whatever Front wants. Probed on the real jar: with no descriptor free for 0.1 s, the answer to a request that the system had let in came 1.010 s after it, too late where its time was up by then.

Change: FailedAccepts stands before that handler and has Front pause as it does where there is no room (ACCEPT_AGAIN). FailedAcceptsTest fails where the failure is passed on.

--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -167,6 +167,7 @@
             .maxMessagesPerRead(READS_AT_ONCE);
         return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, untilNothingIsLeft)
+            .handler(new FailedAccepts(this::pauseAccepting))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     channel.pipeline().addLast(new FrontConnection(Front.this, channel));
@@ -286,7 +287,13 @@
         }
         connections.add(connection);
         fresh.add(connection);
-        if (connections.size() >= cap + overCap && acceptAgain == null && listener.config().isAutoRead()) {
+        if (connections.size() >= cap + overCap) {
+            pauseAccepting();
+        }
+    }
+
+    private void pauseAccepting() {
+        if (acceptAgain == null && listener.config().isAutoRead()) {
             listener.config().setAutoRead(false);
             acceptAgain = deadlines.after(ACCEPT_AGAIN, this::acceptAgain);
         }
--- /dev/null
+++ b/src/test/java/badgermux/front/FailedAcceptsTest.java
@@ -0,0 +1,29 @@
+package badgermux.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+
+class FailedAcceptsTest {
+    @Test void aFailureIsAPauseOfOursAndNotNettysOwn() {
+        AtomicInteger pauses = new AtomicInteger();
+        AtomicReference<Throwable> behind = new AtomicReference<>();
+        EmbeddedChannel listener = new EmbeddedChannel(new FailedAccepts(pauses::incrementAndGet),
+            new ChannelInboundHandlerAdapter() {
+                @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                    behind.set(cause);
+                }
+            });
+        listener.pipeline().fireExceptionCaught(new IOException("Too many open files"));
+        assertEquals(1, pauses.get());
+        assertNull(behind.get(), "the handler behind it stops accepting for a second");
+        listener.finishAndReleaseAll();
+    }
+}
