--- a/src/lab/java/badgermux/lab/Node.java
+++ b/src/lab/java/badgermux/lab/Node.java
@@ -8,6 +8,8 @@
 final class Node {
     static final double COLD_SHARE = 0.15, FALL_MULTIPLE = 3;
     static final long FALL_WINDOW = 2_000_000;
+    /** Calls put down to chance beyond the allowed N: so many times the root of N, and so many. */
+    static final double CHANCE = 2;
     private static final int MAX_WAITING = 16;
 
     /** A job as it stands at a node. */
@@ -37,7 +39,7 @@
     int life;
     double used;
     double reported;
-    /** The mean work of a job, where a fall allows for chance: by the root of what is allowed, and three. */
+    /** The mean work of a job, where a fall allows for chance: see {@link #CHANCE}. */
     double meanJob = 1e9;
     /** The worst of work sent over any window against what could be done in it, since the last cold start. */
     double worstRatio;
@@ -78,7 +80,7 @@
         double could = slots * speed * warmth(now) * FALL_WINDOW / 1e6;
         worstRatio = Math.max(worstRatio, latelySum / could);
         double jobs = FALL_MULTIPLE * could / meanJob;
-        return latelySum / meanJob > (meanJob < 1e9 ? jobs + 3 * Math.sqrt(jobs) + 3 : jobs);
+        return latelySum / meanJob > (meanJob < 1e9 ? jobs + CHANCE * Math.sqrt(jobs) + CHANCE : jobs);
     }
 
     /** What was sent lately, for a log. */
