Hold the sum over all dispatchers at a cold runner to N + 2 root N + 2

The module reckoned with N + 3 root N + 3, and even that only for jobs of one size.

Faults in Dispatcher (lines before this change): - 737-740, withinColdBudget: whoever had used little of its part had up to half of N + 3 root N + 3 in each of two neighbouring windows. After a calm spell all have that at once. - 737-740: the dispatcher of turn t might send one job of most / (1 + t). With jobs of several sizes that adds up to most times the logarithm of their spread. - 733: the order of turns changed wholly from window to window, so two windows held the budget twice. - 735: a job larger than the budget went with no bound on its size. - 484: a send was kept only if the worker was known to be cold then. Told of a new start of the same id, a dispatcher sent a window's work again (10 and 10 in the test). - 233: inherited sends to a worker not listed yet were dropped, and its budget was spent twice. - 730: the mean job was not scaled by the pace of the worker's kind, as its jobs are. Ruled out: a kill right after a send (the next process waits a window from its own list on, which is later); second copies, retries and held jobs (all pass eligible(), each is entered before the next is looked at).

Change: shares by rank that add up to A, and one job alone of Q, A + Q being N + 2 root N + 2 for any sizes of jobs and any span of a window; ranks move by one a window, so two windows hold one share of rank 0 more, for which Q stands in. The proof is in docs/fleet.md. Sends are kept in ColdSendLedger, for all workers. The budget aimed at, half of N, stays. No test was changed but SizeTest, which now covers the ledger, too.

Tried: with Dispatcher as it was, fleetsKeepToTheLimit fails at 1.189 of the limit, ...AreKilled at 1.123, ...HandOver at 1.085, whatWasSentBeforeAStartWasToldCounts (20, not 10) and whatWasSentToAColdWorkerThatIsListedAfterwards. With the share check alone taken out fleetsKeepToTheLimit fails at 1.314; with shares not cut at the smallest sharesOfTwoNeighbouring... fails. soDoFleetsInWhichSomeForgetAll and soDoTheLargestFleets pass on the old code, too.

The bound costs warm-up where N is about 1.

--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -192,7 +192,7 @@
         }
     }
 
-    /** Work sent to a cold worker: when, and how many microseconds of a slot were expected of it. */
+    /** Work sent to a worker: when, and how many microseconds of a slot were expected of it, 0 where that was not known. */
     record Push(long worker, long at, double work) { }
 
     /**
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -21,14 +21,14 @@
     private static final long REPORT_LAG = 400_000, PLACE_HOLD = 60_000_000;
     /** How often held jobs are tried again; a suspect's first rest, doubled up to 4 times by failures. */
     private static final long ROUND = 100_000, FIRST_REST = 500_000;
-    /** Seconds or jobs of its quota that a tenant may save; the part of the cold budget that is used. */
-    private static final double CREDIT_SECONDS = 2, CREDIT_JOBS = 10, COLD_MARGIN = 0.5;
+    /** Seconds or jobs of its quota that a tenant may save; the part of the cold budget used; coldShare. */
+    private static final double CREDIT_SECONDS = 2, CREDIT_JOBS = 10, COLD_MARGIN = 0.5, SPREAD = 2.4;
     /** The part of the tightest aim that a job waits for reports; of its patience, where it runs unknown. */
     private static final int PATIENCE = 4;
     /** Weight of a new figure in a moving average; mean runs until all jobs of a report have ended. */
     private static final double NEW = 0.05, REPORT_RUNS = 10;
-    /** Leniency of a look at cold workers alone. Bounds on CPU and log: held jobs tried at once; lines. */
-    private static final int TURN = -1, TRIES = 3, LOG_LINES = 100;
+    /** A look at cold workers alone; held jobs tried at once; lines; a job alone; most jobs in a share. */
+    private static final int TURN = -1, TRIES = 3, LOG_LINES = 100, ALONE = -1, SHARE_JOBS = 2;
 
     /** A worker: what the list, its reports and our own attempts say of it. */
     private static final class Server {
@@ -40,7 +40,6 @@
         long reportedAt = Long.MIN_VALUE / 4, probedAt = Long.MIN_VALUE / 4;
         int listed;
         final List<Attempt> out = new ArrayList<>();
-        final List<Push> coldSends = new ArrayList<>(0);
         final List<Request> asking = new ArrayList<>(0);
         final Map<Integer, Long> restFor = new HashMap<>(0);
     }
@@ -76,9 +75,10 @@
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Integer, Runnable> timers = new HashMap<>();
     private final List<Request> held = new ArrayList<>();
+    private final ColdSendLedger sends = new ColdSendLedger();
     private final List<List<List<Server>>> groupsByClass = new ArrayList<>();
     private final double[] ready, kindFree, kindSlots, kindPace, meanRun, runs, runPerHint, longest, credit;
-    private double outSlots, runningSlots, stuckSlots, asked, slotRun, part, coldParts, coldUsed;
+    private double outSlots, runningSlots, stuckSlots, asked, slotRun, part;
     private long now, bornAt = -1, watchDelay, keepAlive, coldUntil;
     private int nextToken, logged, lists, doubt;
 
@@ -219,7 +219,7 @@
     @Override public Heritage leave() {
         DoubleStream learnt = Arrays.stream(learning()).flatMapToDouble(Arrays::stream);
         return new Heritage(DoubleStream.concat(DoubleStream.of(slotRun, part), learnt).toArray(),
-            servers.values().stream().flatMap(w -> w.coldSends.stream()).toList());
+            sends.later(now - s.fallWindow).stream().filter(p -> cold(servers.get(p.worker()))).toList());
     }
 
     @Override public void inherit(Heritage left) {
@@ -228,9 +228,8 @@
         for (double[] of : learning()) for (int i = 0; i < of.length; i++) of[i] = left.learnt()[at++];
         slotRun = left.learnt()[0];
         part = left.learnt()[1];
-        if (left.pushes() == null) return;
-        bornAt -= s.fallWindow;     // what was pushed before is known
-        left.pushes().forEach(p -> servers.getOrDefault(p.worker(), new Server()).coldSends.add(p));
+        if (left.pushes() != null) left.pushes().forEach(p -> sends.record(p, false));
+        bornAt -= left.pushes() == null ? 0 : s.fallWindow;     // what was pushed before is known
     }
 
     @Override public void ending(long time) {
@@ -255,10 +254,8 @@
         // Our part of traffic and quotas, by the work that comes; overload says nothing of it.
         if (held.isEmpty() && used >= 1 && slotRun > 0) part += NEW / 5 * (asked / ROUND / used - part);
         asked = 0;
-        for (Server w : now < coldUntil ? servers.values() : List.<Server>of())
-            coldParts += cold(w) ? coldBudget(w) / s.dispatchers * ROUND / s.fallWindow : 0;
-        coldParts -= coldParts * NEW / 5;
-        coldUsed -= coldUsed * NEW / 5;
+        double allowed = servers.values().stream().filter(this::cold).mapToDouble(this::coldBudget).sum();
+        sends.round(now - s.fallWindow, allowed / s.dispatchers * ROUND / s.fallWindow, NEW / 5);
         zones.round(now).forEach(id -> { if (s.probes) act.probe(id); });
         for (String line = zones.news(); line != null; line = zones.news()) act.log(line);
         keepAlive = Math.min(s.connectionIdle, keepAlive + keepAlive / 100 + 1);
@@ -382,7 +379,6 @@
             boolean astray = r.type.effect() == Effect.BY_KEY && r.type.scope() != Scope.ALL && !near;
             if (astray && mayHaveRun(a) || a.server == w && (a.outcome == null || leniency < 2)) return false;
         }
-        // After our own restart what we pushed to cold workers before is unknown: nothing goes there.
         return !cold(w) || now - bornAt >= s.fallWindow && withinColdBudget(w, r);
     }
 
@@ -481,8 +477,7 @@
         if (a.idle > keepAlive) a.idle = 0;
         a.roomy = roomy(w, r);
         w.out.add(a);
-        double cold = cold(w) ? coldWork(w, r) : 0;
-        if (cold(w) && w.coldSends.add(new Push(w.info.id(), now, cold))) coldUsed += cold;
+        sends.record(new Push(w.info.id(), now, coldWork(w, r)), cold(w));
         double work = Math.max(slotRun / 4, expectedRun(r)) * r.job.slots() / 1e6;
         zones.sent(now, r.job, r.attempts.size() - 1, w.info, work);
         act.send(r.job.id(), w.info.id());
@@ -718,7 +713,7 @@
     // ---- Cold workers (rule 4): a budget of work over any window, split over the dispatchers
 
     private boolean cold(Server w) {
-        return zones.startedAt(w.info) > 0 && now - zones.startedAt(w.info) < s.coldFor;
+        return w != null && zones.startedAt(w.info) > 0 && now - zones.startedAt(w.info) < s.coldFor;
     }
 
     /** What a job takes there once it is warm: a kind that runs longer has less to give in the same slots. */
@@ -727,17 +722,23 @@
     }
 
     private boolean withinColdBudget(Server w, Request r) {
-        double job = coldWork(w, r), budget = coldBudget(w), mean = Math.max(1, slotRun);
-        w.coldSends.removeIf(p -> p.at() <= now - s.fallWindow);
+        double mean = Math.max(1, slotRun * Math.exp(kindPace[w.info.kind()])), job = coldWork(w, r) / mean;
+        double half = coldBudget(w) / mean, sent = sends.work(w.info.id(), now - s.fallWindow, mean) / mean;
         long window = Math.max(0, now - zones.startedAt(w.info)) / Math.max(1, s.fallWindow);
-        long turn = Math.floorMod(s.index + (1 + window) * Long.hashCode(w.info.id()), (long) s.dispatchers);
-        // Guards against a class that no part holds, or of unknown run: one by one of all, each 2nd window.
-        if (job == 0 || job > budget && turn == 0) return turn + window % 2 == 0 && w.coldSends.isEmpty();
-        // Guards against even parts that hold no job: all sent what we did, those before us in turn one more.
-        double all = w.coldSends.stream().mapToDouble(Push::work).sum() * s.dispatchers + job * (1 + turn);
-        // Who uses its turns seldom has more; two windows in which all are used keep to the rule's chance.
-        double jobs = budget / COLD_MARGIN / mean, most = mean * (jobs + 3 * Math.sqrt(jobs) + 3) / 2;
-        return all * Math.min(1, (coldUsed + mean) / (coldParts + mean)) <= budget && all <= most;
+        long rank = Math.floorMod(s.index + Long.hashCode(w.info.id()) - window, (long) s.dispatchers);
+        double n = half / COLD_MARGIN, all = (sent * s.dispatchers + job * (1 + rank)) * sends.used(mean);
+        boolean shared = job > 0 && all <= half && sent + job <= coldShare(n, rank, s.dispatchers);
+        // Guards against a class that no share holds, or of unknown run: one by one of all, each 2nd window.
+        return shared || rank + window % 2 == 0 && sent == 0 && job <= coldShare(n, ALONE, s.dispatchers);
+    }
+
+    /** Mean jobs from a rank in any window, or in one job ALONE: in all N + 2 root N + 2 (docs/fleet.md). */
+    static double coldShare(double n, long rank, int dispatchers) {
+        double all = n + 2 * Math.sqrt(n) + 2, one = Math.max(1, all / 4), even = (all - one) / dispatchers;
+        double most = Math.min(SHARE_JOBS, one), least = Math.max(1.0 / SHARE_JOBS, even / SPREAD);
+        double first = (all - one) / (1 + Math.log(most / least));
+        if (rank == ALONE || even >= most) return rank == ALONE ? one : even;
+        return first < least * (1 + rank) ? 0 : Math.min(most, first / (1 + rank));
     }
 
     /** What all may send to a cold worker in one window: a part of the work that would push it over. */
--- a/src/test/java/badgermux/decide/DecisionsTest.java
+++ b/src/test/java/badgermux/decide/DecisionsTest.java
@@ -95,6 +95,30 @@
         }
     }
 
+    /** The list kept from before may lack a worker that was sent work: what was sent there was forgotten with it. */
+    @Test void whatWasSentToAColdWorkerThatIsListedAfterwardsIsKnownToTheNextProcess() {
+        rig.start(fleet(1));
+        for (int i = 0; i < 4; i++) {
+            rig.serve(PAY, 200 * MS, null);
+        }
+        rig.advance(2 * SECOND);
+        Worker cold = worker(1, WorkerState.READY, rig.did.now - SECOND);
+        rig.list(ListUpdate.FULL, cold);
+        for (int i = 0; i < 20; i++) {
+            rig.request(PAY);
+        }
+        Dispatch.Heritage left = rig.module.leave();
+        for (boolean spent : new boolean[] {true, false}) {
+            Rig next = new Rig();
+            next.did.now = rig.did.now;
+            next.start();
+            next.module.inherit(spent ? left : new Dispatch.Heritage(left.learnt(), List.of()));
+            next.list(ListUpdate.FULL, cold);
+            next.request(PAY);
+            assertEquals(spent, next.did.sends.isEmpty());
+        }
+    }
+
     @Test void oneThatDrainsIsAvoidedAndLeftNoIdleConnection() {
         probing().start(fleet(3));
         assertFalse(rig.module.avoids(1));
--- a/src/test/java/badgermux/decide/RulesTest.java
+++ b/src/test/java/badgermux/decide/RulesTest.java
@@ -412,6 +412,24 @@
         assertTrue(work <= 2 * 2 * 0.25 * SECOND / 2, "sent " + work);
     }
 
+    /** A worker that has started anew under its id took a window's work again from who had just sent it as much. */
+    @Test void whatWasSentBeforeAStartWasToldCountsAgainstTheBudget() {
+        rig.settings.dispatchers = 1;
+        rig.start(worker(3, WorkerState.READY, 0));
+        for (int i = 0; i < 5; i++) {
+            rig.serve(RENDER, 50 * MS, Rig.free(2));
+        }
+        rig.advance(2 * SECOND);
+        int before = rig.did.sends.size();
+        for (int i = 0; i < 70; i++) {
+            if (i == 10) {
+                rig.list(ListUpdate.DELTA, worker(3, WorkerState.READY, rig.did.now - 1));
+            }
+            rig.outcome(rig.request(RENDER), 0, Outcome.SERVED);
+        }
+        assertEquals(10, rig.did.sends.size() - before, "half of 2 x 2 x 0.25 slots for 1 s");
+    }
+
     @Test void aJobLargerThanTheBudgetNeverGoesToAColdWorker() {
         assertEquals(0, coldWork(60, 700 * MS));
     }
--- a/src/test/java/badgermux/decide/SizeTest.java
+++ b/src/test/java/badgermux/decide/SizeTest.java
@@ -21,7 +21,7 @@
     }
 
     @Test void moduleImportsNothingOfTheWireNorAnyClock() throws IOException {
-        for (String file : List.of("Dispatcher.java", "Dispatch.java")) {
+        for (String file : List.of("Dispatcher.java", "Dispatch.java", "ColdSendLedger.java")) {
             String text = Files.readString(SOURCES.resolve(file));
             for (String word : List.of("badgermux.sim", "java.io", "java.net", "java.nio", "System.", "Thread")) {
                 assertFalse(text.contains(word), file + " mentions " + word);
