Measure what parts of a dispatcher cost by size, for the capacity page

MeasureModule measures processor time of the thread, live heap and bytes of messages inside one process, at 60 to 10,000 workers; MeasureProcess measures the built jar with the deploy file's Java options against stand-ins on loopback: start, idle time, whole lists, reloads, figures, requests with and without probes, connections.

An idle process was first measured with threads that had ended counted as negative time (idle -30 ms a second at 2,600 workers): that run was stopped and its figures are not kept; threads that end are left out now.

--- /dev/null
+++ b/src/bench/java/badgermux/capacity/DispatcherProcess.java
@@ -0,0 +1,144 @@
+package badgermux.capacity;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/** One dispatcher of the built jar, started by the line {@code run} of the deploy file. */
+final class DispatcherProcess implements AutoCloseable {
+    private static final Pattern RUN = Pattern.compile("^run = \"exec (.*)\"$", Pattern.MULTILINE);
+    private static final int END_SECONDS = 10;
+
+    private final Process process;
+    private final int port;
+    private final AtomicLong logBytes = new AtomicLong();
+    private final AtomicLong logLines = new AtomicLong();
+
+    /** Starts it on a configuration file and waits until it listens. */
+    DispatcherProcess(Path configuration, String discovery) throws IOException {
+        Matcher run = RUN.matcher(Files.readString(Path.of("deploy", "balancer.toml")));
+        if (!run.find()) {
+            throw new IOException("deploy/balancer.toml has no run");
+        }
+        ProcessBuilder builder = new ProcessBuilder(run.group(1).split(" "));
+        builder.environment().put("GW_CONFIG", configuration.toString());
+        builder.environment().put("GW_LISTEN", "127.0.0.1:0");
+        builder.environment().put("GW_DISCOVERY", discovery);
+        builder.environment().remove("TMPDIR");
+        builder.environment().remove("JAVA_TOOL_OPTIONS");
+        builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+        process = builder.start();
+        // Guards against a process that goes on where the measurement is ended from outside.
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+        BufferedReader log = process.errorReader(StandardCharsets.UTF_8);
+        port = awaitPort(log);
+        Thread reader = new Thread(() -> log.lines().forEach(this::count), "log reader");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private int awaitPort(BufferedReader log) throws IOException {
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            count(line);
+            if (line.contains(" listens on ")) {
+                return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+            }
+        }
+        throw new IOException("the dispatcher did not start");
+    }
+
+    private void count(String line) {
+        logLines.incrementAndGet();
+        logBytes.addAndGet(line.length() + 1L);
+    }
+
+    /** Where clients connect. */
+    int port() {
+        return port;
+    }
+
+    /** Bytes of its log so far. */
+    long logBytes() {
+        return logBytes.get();
+    }
+
+    /** Lines of its log so far. */
+    long logLines() {
+        return logLines.get();
+    }
+
+    /** Processor time of each of its threads since the start, in microseconds. */
+    Map<Path, Double> cpu() throws IOException {
+        Map<Path, Double> byThread = new HashMap<>();
+        try (Stream<Path> tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
+            for (Path task : tasks.toList()) {
+                byThread.put(task, Double.parseDouble(Files.readString(task.resolve("schedstat")).split(" ")[0]) / 1e3);
+            }
+        }
+        return byThread;
+    }
+
+    /** Microseconds of processor time since {@link #cpu}; what threads that ended meanwhile took is left out. */
+    double cpuSince(Map<Path, Double> before) throws IOException {
+        return cpu().entrySet().stream().mapToDouble(e -> e.getValue() - before.getOrDefault(e.getKey(), 0.0)).sum();
+    }
+
+    /** Resident memory in bytes. */
+    long residentBytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+            .filter(line -> line.startsWith("VmRSS:")).mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) * 1024)
+            .findFirst().orElseThrow();
+    }
+
+    /** Live heap in bytes, after a collection that is asked for. */
+    long liveHeapBytes() throws IOException, InterruptedException {
+        jcmd("GC.run");
+        Matcher used = Pattern.compile("total \\d+K, used (\\d+)K").matcher(jcmd("GC.heap_info"));
+        long bytes = 0;
+        while (used.find()) {
+            bytes += Long.parseLong(used.group(1)) * 1024;
+        }
+        return bytes;
+    }
+
+    private String jcmd(String command) throws IOException, InterruptedException {
+        Process call = new ProcessBuilder("jcmd", String.valueOf(process.pid()), command).redirectErrorStream(true).start();
+        String text = new String(call.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        call.waitFor(END_SECONDS, TimeUnit.SECONDS);
+        return text;
+    }
+
+    /** Sends SIGHUP. */
+    void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor(END_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** The counters, as GET /metrics gives them. */
+    String metrics() throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream().write("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                .getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** A counter's value. */
+    long count(String name, String metrics) {
+        return metrics.lines().filter(line -> line.startsWith("badgermux_" + name + ' '))
+            .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1))).findFirst().orElseThrow();
+    }
+
+    @Override public void close() {
+        process.destroyForcibly();
+    }
+}
--- /dev/null
+++ b/src/bench/java/badgermux/capacity/MeasureModule.java
@@ -0,0 +1,300 @@
+package badgermux.capacity;
+
+import badgermux.core.Asker;
+import badgermux.core.Deadlines;
+import badgermux.core.Engine;
+import badgermux.core.Outbound;
+import badgermux.decide.Dispatch;
+import badgermux.decide.Dispatch.ListUpdate;
+import badgermux.decide.Dispatcher;
+import badgermux.discovery.ListDecoder;
+import badgermux.http.Bytes;
+import badgermux.http.Relay;
+import badgermux.metrics.Metrics;
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonParser;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.function.IntConsumer;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Measures what parts of a dispatcher cost inside one process, by size: processor time of the measuring thread, live heap
+ * after collections, and bytes of messages as they are encoded. Writes the slopes to the committed JSON file.
+ */
+@Command(name = "measure-module", mixinStandardHelpOptions = true,
+    description = "Measures decisions, news, lists, heap and messages by size.")
+public final class MeasureModule implements Callable<Integer> {
+    private static final String RUN = "module";
+    private static final int[] WORKERS = {60, 250, 600, 1200, 2600, 5200, 10_000};
+    private static final int[] CLASSES = {1, 3, 6, 12};
+    private static final int[] TENANTS = {3, 60, 190, 600};
+    private static final int[] OPEN = {250, 1000, 4000, 16_000};
+    private static final int TODAYS_CLASSES = 3, TARGET_WORKERS = 2600, TARGET_TENANTS = 190;
+    /** A round goes on until it has taken so much of the thread's processor time. */
+    private static final long ROUND_NANOS = 25_000_000;
+    private static final double NANOS_PER_MICRO = 1e3;
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+    @Option(names = "--slopes", defaultValue = "docs/capacity/slopes.json", description = "The file of slopes.")
+    private Path file;
+
+    @Option(names = "--rounds", defaultValue = "9", description = "Rounds measured of each point, after two that are not.")
+    private int rounds;
+
+    private final Recorder recorder = new Recorder(RUN);
+    private long kept;
+    /** What is measured, so that it lives on until the next. */
+    private Object made;
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new MeasureModule()).execute(args));
+    }
+
+    @Override public Integer call() throws Exception {
+        times();
+        heap();
+        messages();
+        String command = "JAVA_TOOL_OPTIONS='" + System.getenv().getOrDefault("JAVA_TOOL_OPTIONS", "")
+            + "' src/bench/run badgermux.capacity.MeasureModule --rounds " + rounds;
+        String how = "Processor time of the measuring thread, so other processes' load counts little; collections run on "
+            + "another thread and are left out. Heap: what is in use after three collections. Messages: as the program's own "
+            + "classes encode them, without TCP and IP heads.";
+        Slopes.read(file).with(recorder.run(command, how), recorder.slopes()).write(file);
+        return kept == Long.MIN_VALUE ? 1 : 0;
+    }
+
+    // ---- Processor time
+
+    private void times() {
+        recorder.describe("cpu.request", "a request in the decision module, with its probes, timers and outcome", "us", "worker");
+        recorder.describe("probes.request", "probes that the module asks for with a request, one job each 20 ms", "probes", "worker");
+        recorder.describe("cpu.news", "the news of one worker in the decision module, 3 classes", "us", "worker");
+        recorder.describe("cpu.news.class", "the news of one of 2,600 workers in the decision module", "us", "class");
+        recorder.describe("cpu.list", "a whole list in the decision module, 3 classes", "us", "worker");
+        recorder.describe("cpu.zone.single", "a zone (1/11) is told gone, one delta a worker, 3 classes", "us", "worker");
+        recorder.describe("cpu.zone.whole", "a zone (1/11) is told gone in one delta, 3 classes", "us", "worker");
+        recorder.describe("cpu.parse", "decoding a whole list by ListDecoder", "us", "worker");
+        for (int size : WORKERS) {
+            ModuleRig rig = new ModuleRig(size, TODAYS_CLASSES, 0);
+            recorder.add("cpu.request", size, time(turn -> rig.job()));
+            long before = rig.probesAsked();
+            IntStream.range(0, 1000).forEach(turn -> rig.job());
+            recorder.add("probes.request", size, (rig.probesAsked() - before) / 1000.0);
+            recorder.add("cpu.news", size, time(rig::news));
+            recorder.add("cpu.list", size, time(turn -> rig.wholeList()));
+            recorder.add("cpu.zone.single", size, timeZone(rig, true));
+            recorder.add("cpu.zone.whole", size, timeZone(rig, false));
+            String list = list(size);
+            recorder.add("cpu.parse", size, time(turn -> kept += ListDecoder.decode(list).hashCode()));
+        }
+        for (int classes : CLASSES) {
+            ModuleRig rig = new ModuleRig(TARGET_WORKERS, classes, 0);
+            recorder.add("cpu.news.class", classes, time(rig::news));
+        }
+    }
+
+    /** Microseconds of processor time for one call, by round. */
+    private double[] time(IntConsumer work) {
+        double[] result = new double[rounds];
+        int turn = 0;
+        for (int round = -2; round < rounds; round++) {
+            long from = THREADS.getCurrentThreadCpuTime(), taken = 0;
+            int calls = 0;
+            while (taken < ROUND_NANOS) {
+                work.accept(turn++);
+                calls++;
+                taken = THREADS.getCurrentThreadCpuTime() - from;
+            }
+            if (round >= 0) {
+                result[round] = taken / NANOS_PER_MICRO / calls;
+            }
+        }
+        return result;
+    }
+
+    /** Microseconds of processor time for the loss of a zone, by round; its return is not counted. */
+    private double[] timeZone(ModuleRig rig, boolean oneByOne) {
+        double[] result = new double[rounds];
+        for (int round = -2; round < rounds; round++) {
+            long from = THREADS.getCurrentThreadCpuTime();
+            rig.loseZone(oneByOne);
+            long taken = THREADS.getCurrentThreadCpuTime() - from;
+            rig.returnZone();
+            if (round >= 0) {
+                result[round] = taken / NANOS_PER_MICRO;
+            }
+        }
+        return result;
+    }
+
+    // ---- Heap
+
+    private void heap() {
+        recorder.describe("heap.worker", "live heap of the decision module", "bytes", "worker");
+        recorder.describe("heap.tenant", "live heap of the decision module and its settings", "bytes", "tenant");
+        recorder.describe("heap.open", "live heap of engine and module for requests that have one attempt out", "bytes", "request");
+        for (int size : WORKERS) {
+            recorder.add("heap.worker", size, held(() -> new ModuleRig(size, TODAYS_CLASSES, 0)));
+        }
+        for (int tenants : TENANTS) {
+            recorder.add("heap.tenant", tenants, held(() -> new ModuleRig(60, TODAYS_CLASSES, tenants)));
+        }
+        for (int open : OPEN) {
+            recorder.add("heap.open", open, held(() -> new OpenRequests(open)));
+        }
+    }
+
+    /** Bytes that live on with what is made, by round. */
+    private double[] held(Supplier<Object> make) {
+        double[] result = new double[3];
+        heldOnce(make);
+        for (int round = 0; round < result.length; round++) {
+            result[round] = heldOnce(make);
+        }
+        return result;
+    }
+
+    private long heldOnce(Supplier<Object> make) {
+        made = null;
+        long before = live();
+        made = make.get();
+        return Math.max(1, live() - before);
+    }
+
+    private static long live() {
+        Runtime runtime = Runtime.getRuntime();
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /** An engine with so many requests, each with one attempt out at a worker that never answers. */
+    private static final class OpenRequests implements Outbound<Relay>, Asker {
+        private static final long PATIENCE = 10_000_000;
+        private final Engine<Relay> engine;
+
+        OpenRequests(int open) {
+            Metrics metrics = new Metrics(List.of("class0"));
+            long now = System.nanoTime() / 1000;
+            Deadlines deadlines = new Deadlines(() -> now, at -> { }, metrics);
+            Dispatch.Settings settings = ModuleRig.settings(1, 0);
+            settings.reports = Dispatch.ReportMode.NEVER;
+            settings.probes = false;
+            engine = new Engine<>(() -> now, deadlines, metrics, settings.maxAttempts);
+            engine.join(new Dispatcher(settings, 7, engine), this, () -> { });
+            engine.workers(ListUpdate.FULL, IntStream.range(0, 60).mapToObj(i -> new Dispatch.Worker(i * 0x9E3779B97F4A7C15L,
+                0, 0, 0, Dispatch.WorkerState.READY, 0)).toList());
+            for (int i = 0; i < open; i++) {
+                String id = String.format("%016x", i);
+                Relay relay = new Relay(id, "POST /preview/a HTTP/1.1", "X-Request-ID: " + id + "\r\n", new byte[64], null);
+                engine.take(this, relay, 0, 0, 1, now + PATIENCE);
+            }
+            if (engine.open() < open) {
+                throw new IllegalStateException("only " + engine.open() + " of " + open + " requests are open");
+            }
+        }
+
+        @Override public void attempt(long attempt, long backend, Relay payload, long limit) { }
+
+        @Override public void abort(long attempt) { }
+
+        @Override public boolean withdraw(long attempt) {
+            return false;
+        }
+
+        @Override public void probe(long backend) { }
+
+        @Override public void release(long backend) { }
+
+        @Override public void served(byte[] result) { }
+
+        @Override public void synthetic(long comeBack) { }
+
+        @Override public void failed(boolean late) { }
+    }
+
+    // ---- Messages
+
+    private void messages() {
+        recorder.describe("bytes.list", "a whole list on one line, with its HTTP head", "bytes", "worker");
+        recorder.describe("bytes.list.indented", "a whole list, indented, with its HTTP head", "bytes", "worker");
+        recorder.describe("bytes.delta", "a delta on one line, with the call for it and both heads", "bytes", "entry");
+        recorder.describe("bytes.probe", "probes and their answers with a report", "bytes", "probe");
+        recorder.describe("bytes.attempt", "attempts with a body of 64 bytes, and their lines started and done", "bytes", "attempt");
+        recorder.describe("bytes.request", "clients' requests with a body of 64 bytes, and their answers", "bytes", "request");
+        recorder.describe("bytes.metrics", "an answer to GET /metrics", "bytes", "class");
+        recorder.describe("bytes.settings", "a configuration file without a list, 3 classes", "bytes", "tenant");
+        for (int size : WORKERS) {
+            recorder.add("bytes.list", size, answered(list(size)));
+            String indented = new GsonBuilder().setPrettyPrinting().create().toJson(JsonParser.parseString(list(size)));
+            recorder.add("bytes.list.indented", size, answered(indented));
+        }
+        for (int entries : new int[] {1, 10, 236}) {
+            String delta = list(entries).replace("\"complete\":true", "\"complete\":false");
+            recorder.add("bytes.delta", entries, watchCall() + answered(delta));
+        }
+        for (int probes : new int[] {1, 100}) {
+            recorder.add("bytes.probe", probes, probes * probe());
+            recorder.add("bytes.attempt", probes, probes * attempt());
+            recorder.add("bytes.request", probes, probes * request());
+        }
+        for (int classes : CLASSES) {
+            List<String> names = IntStream.range(0, classes).mapToObj(c -> "class" + c).toList();
+            recorder.add("bytes.metrics", classes, answered(new Metrics(names).text()));
+        }
+        for (int tenants : TENANTS) {
+            recorder.add("bytes.settings", tenants, MeasureProcess.configuration("", tenants, true).length());
+        }
+    }
+
+    private static double answered(String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return Bytes.response(200, "OK", "", bytes, true).readableBytes();
+    }
+
+    private static double watchCall() {
+        return Bytes.get("/v1/servers?since=123456&timeout_ms=5000", "10.2.0.1:8500").readableBytes();
+    }
+
+    private static double probe() {
+        return Bytes.get("/load", "10.1.200.118:5000").readableBytes() + answered("TEXT x0=2, x1=2048, latency_ms=431, qps=2.5");
+    }
+
+    private static double attempt() {
+        String id = "9b1f03aa5c7e2d41";
+        Relay relay = new Relay(id, "POST /preview/nhan-dan HTTP/1.1", requestHeaders(id), new byte[64], null);
+        String started = "{\"id\":\"" + id + "\",\"from\":\"s-0badcafe\",\"state\":\"started\"}\n";
+        String done = "{\"id\":\"" + id + "\",\"from\":\"s-0badcafe\",\"state\":\"done\",\"result\":\"" + "r".repeat(64) + "\"}\n";
+        return relay.encode("10.1.200.118:5000", 5000).readableBytes() + answered(started + done);
+    }
+
+    private static double request() {
+        String id = "9b1f03aa5c7e2d41";
+        return Bytes.message("POST /preview/nhan-dan HTTP/1.1\r\nHost: 10.0.0.4:5000\r\n" + requestHeaders(id)
+            + "X-Timeout: 5000m\r\nContent-Length: 64\r\n", new byte[64]).readableBytes() + answered("r".repeat(64));
+    }
+
+    private static String requestHeaders(String id) {
+        return "X-Request-ID: " + id + "\r\nX-Tenant-Id: team-118\r\nContent-Type: application/json\r\n";
+    }
+
+    /** A whole list of so many workers in the platform's form. */
+    static String list(int size) {
+        List<String> members = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            members.add(MeasureProcess.member(i, "10.1." + i / 256 + '.' + i % 256 + ":5000"));
+        }
+        return "{\"revision\":123456,\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
+    }
+}
--- /dev/null
+++ b/src/bench/java/badgermux/capacity/StandIns.java
@@ -0,0 +1,111 @@
+package badgermux.capacity;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A discovery service and a worker on loopback, for one dispatcher of the built jar. */
+final class StandIns implements AutoCloseable {
+    private static final String REPORT = "TEXT x0=4, x1=2048, latency_ms=20, qps=2.5";
+
+    private final HttpServer discovery;
+    private final HttpServer worker;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
+    private final AtomicLong answered = new AtomicLong();
+    private final AtomicLong probes = new AtomicLong();
+    private final AtomicLong calls = new AtomicLong();
+
+    StandIns() throws IOException {
+        discovery = listen();
+        discovery.createContext("/v1/servers", this::discover);
+        worker = listen();
+        worker.createContext("/load", exchange -> {
+            probes.incrementAndGet();
+            reply(exchange, REPORT);
+        });
+        worker.createContext("/", this::work);
+        discovery.start();
+        worker.start();
+    }
+
+    private HttpServer listen() throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 1024);
+        server.setExecutor(threads);
+        return server;
+    }
+
+    /** Where discovery answers. */
+    String discoveryAddress() {
+        return "127.0.0.1:" + discovery.getAddress().getPort();
+    }
+
+    /** Where the worker answers. */
+    String workerAddress() {
+        return "127.0.0.1:" + worker.getAddress().getPort();
+    }
+
+    /** Has discovery answer the next call with this list. */
+    void push(String list) {
+        lists.add(list);
+    }
+
+    /** How many lists were written whole. */
+    long listsAnswered() {
+        return answered.get();
+    }
+
+    /** How many probes came. */
+    long probes() {
+        return probes.get();
+    }
+
+    /** How many calls for the list came. */
+    long calls() {
+        return calls.get();
+    }
+
+    /** A watch: the next list that is pushed, or an answer without entries when its time is up. */
+    private void discover(HttpExchange exchange) throws IOException {
+        calls.incrementAndGet();
+        String query = exchange.getRequestURI().getQuery();
+        long timeout = Long.parseLong(query.replaceAll(".*timeout_ms=", ""));
+        String since = query.replaceAll(".*since=(\\d+).*", "$1");
+        try {
+            String list = lists.poll(timeout, TimeUnit.MILLISECONDS);
+            reply(exchange, list != null ? list : "{\"revision\":" + since + ",\"complete\":false,\"members\":[]}");
+            answered.addAndGet(list == null ? 0 : 1);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A job that starts and is done at once. */
+    private void work(HttpExchange exchange) throws IOException {
+        exchange.getRequestBody().readAllBytes();
+        String id = exchange.getRequestHeaders().getFirst("X-Request-ID");
+        reply(exchange, "{\"id\":\"" + id + "\",\"from\":\"s\",\"state\":\"started\"}\n{\"id\":\"" + id
+            + "\",\"from\":\"s\",\"state\":\"done\",\"result\":\"" + "r".repeat(64) + "\"}\n");
+    }
+
+    private static void reply(HttpExchange exchange, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(200, bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    @Override public void close() {
+        discovery.stop(0);
+        worker.stop(0);
+        threads.shutdownNow();
+    }
+}
