Capacity page: the target by concept, demand by role, what is missing first

The tables stand between markers and are printed by CapacityTables; CapacityPageTest fails where the page differs (tried: one median changed in slopes.json, two of its eight tests fail), where a slope's error does not follow from its points, or where the page names a class that does not exist.

--- /dev/null
+++ b/src/test/java/badgermux/capacity/CapacityPageTest.java
@@ -0,0 +1,107 @@
+package badgermux.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The capacity page says what the program works out from the committed files, and names classes that there are. */
+class CapacityPageTest {
+    private static final Path PAGE = Path.of("docs", "CAPACITY.md");
+    private static final Path FOLDER = Path.of("docs", "capacity");
+    private static final Pattern CLASS = Pattern.compile("`([A-Z][A-Za-z]+)`");
+
+    private static Slopes slopes() throws IOException {
+        return Slopes.read(FOLDER.resolve("slopes.json"));
+    }
+
+    private static Target target() throws IOException {
+        return Target.read(FOLDER.resolve("target.json"));
+    }
+
+    @Test void thePagesTablesAreThoseOfTheProgram() throws IOException {
+        String page = Files.readString(PAGE);
+        assertEquals(Page.with(page, new Tables(slopes(), target()).all()), page,
+            "write them anew: src/bench/run badgermux.capacity.CapacityTables --write");
+    }
+
+    @Test void aPageWithAnotherFigureDiffers() throws IOException {
+        String page = Files.readString(PAGE);
+        String spoilt = page.replaceFirst("\\| workers \\| 2,600 workers", "| workers | 2,601 workers");
+        assertTrue(!spoilt.equals(page), "the page shows the number of workers");
+        assertEquals(page, Page.with(spoilt, new Tables(slopes(), target()).all()));
+    }
+
+    @Test void aPageWithoutAPlaceForATableIsRefused() {
+        assertThrows(IllegalArgumentException.class, () -> Page.with("no marker", Map.of("runs", "| a |\n")));
+    }
+
+    @Test void eachSlopeNamesItsRunAndFollowsFromItsPoints() throws IOException {
+        Set<String> runs = slopes().runs().stream().map(Slopes.Run::name).collect(Collectors.toSet());
+        for (Slope slope : slopes().slopes()) {
+            assertTrue(runs.contains(slope.run()), slope.name() + " has no run");
+            double squares = 0;
+            for (Slope.Point point : slope.points()) {
+                assertTrue(point.least() <= point.median() && point.median() <= point.most(), slope.name());
+                squares += Math.pow(slope.fitted(point.size()) / point.median() - 1, 2);
+            }
+            double error = Math.sqrt(squares / slope.points().size());
+            assertEquals(slope.errorShare(), error, 0.002 + 0.01 * error, slope.name() + " has another error");
+        }
+    }
+
+    @Test void aLineIsUsedOnlyWhereNothingWasMeasured() {
+        List<Slope.Point> points = List.of(new Slope.Point(10, 3, 100, 90, 120), new Slope.Point(20, 3, 500, 450, 600));
+        Slope slope = new Slope("x", "x", "us", "worker", "run", points, -300, 40, 0);
+        assertEquals(500, slope.at(20));
+        assertEquals(900, slope.at(30));
+        assertEquals(0, slope.at(1));
+    }
+
+    @Test void aRoleWithoutMechanismGoesBeforeAllOthers() throws IOException {
+        String ranking = new Tables(slopes(), target()).all().get("ranking");
+        List<String> mechanisms = ranking.lines().skip(2).map(line -> line.replaceAll("^.*\\| (.*) \\|$", "$1")).toList();
+        int lastNone = mechanisms.lastIndexOf(Demand.NONE);
+        assertTrue(lastNone >= 0, ranking);
+        assertEquals(Set.of(Demand.NONE), Set.copyOf(mechanisms.subList(0, lastNone + 1)));
+    }
+
+    @Test void failuresCostMoreTheMoreWorkersTheyTake() throws IOException {
+        List<Demand> demands = new Model(slopes(), target()).demands(120).stream()
+            .filter(demand -> demand.role().equals("Decision module")).toList();
+        List<Situation> rising = List.of(Situation.TARGET, Situation.MACHINE, Situation.RACK, Situation.ZONE, Situation.REGION);
+        double before = 0;
+        for (Situation situation : rising) {
+            double core = demands.stream().filter(d -> d.situation() == situation).findFirst().orElseThrow().coreShare();
+            assertTrue(core > before, situation + " costs " + core + " after " + before);
+            before = core;
+        }
+    }
+
+    @Test void theClassesThatThePageNamesExist() throws IOException {
+        Set<String> sources;
+        try (Stream<Path> files = Files.walk(Path.of("src"))) {
+            sources = files.map(file -> file.getFileName().toString()).filter(name -> name.endsWith(".java"))
+                .map(name -> name.replace(".java", "")).collect(Collectors.toSet());
+        }
+        Set<String> unknown = new TreeSet<>();
+        for (Matcher name = CLASS.matcher(Files.readString(PAGE)); name.find();) {
+            if (!sources.contains(name.group(1))) {
+                unknown.add(name.group(1));
+            }
+        }
+        assertEquals(Set.of(), unknown);
+    }
+}
