Regroup workers only when one appears, leaves for good, or changes its kind or zone

At fault: takeList called group() on each list and delta, which also counted the ready workers of each kind anew.

Change: a worker whose state alone changes stays in its groups; ready workers are counted as their states change; groups are made at the next request behind a change that needs it.

--- a/src/main/java/badgermux/decide/Dispatch.java
+++ b/src/main/java/badgermux/decide/Dispatch.java
@@ -190,6 +190,11 @@
             require(state != null, "state of worker " + Long.toHexString(id) + " is needed");
             require(kind >= 0 && startedAt >= 0, "kind or startedAt of worker " + Long.toHexString(id) + " is negative");
         }
+
+        /** Whether the same classes may run on it as on another, which may be null: it stays in its groups then. */
+        boolean isAlike(Worker other) {
+            return other != null && kind == other.kind && zone == other.zone;
+        }
     }
 
     /** Work sent to a cold worker: when, and how many microseconds of a slot were expected of it. */
--- a/src/main/java/badgermux/decide/Dispatcher.java
+++ b/src/main/java/badgermux/decide/Dispatcher.java
@@ -15,20 +15,18 @@
 public final class Dispatcher implements Dispatch {
     /** Workers in a group: two groups show enough of them for a small constant load (paper, section 4). */
     private static final int GROUP = 3;
-    /** Loads closer than so many slots tie, as reports are no finer; totals of groups more widely. */
-    private static final double TIE = 0.5, WIDE_TIE = 1.5, EVEN = 1.6;
+    /** Loads closer than so many slots tie, as reports are no finer; totals of groups more widely. Weight of
+     *  a new figure in a moving average; mean runs until all jobs of a report have ended. */
+    private static final double TIE = 0.5, WIDE_TIE = 1.5, EVEN = 1.6, NEW = 0.05, REPORT_RUNS = 10;
     /** A report's usual age: younger pushes are not in it; how long a group's place outlives its worker. */
     private static final long REPORT_LAG = 400_000, PLACE_HOLD = 60_000_000;
     /** How often held jobs are tried again; a suspect's first rest, doubled up to 4 times by failures. */
     private static final long ROUND = 100_000, FIRST_REST = 500_000;
     /** Seconds or jobs of its quota that a tenant may save; the part of the cold budget that is used. */
     private static final double CREDIT_SECONDS = 2, CREDIT_JOBS = 10, COLD_MARGIN = 0.5;
-    /** The part of the tightest aim that a job waits for reports; of its patience, where it runs unknown. */
-    private static final int PATIENCE = 4;
-    /** Weight of a new figure in a moving average; mean runs until all jobs of a report have ended. */
-    private static final double NEW = 0.05, REPORT_RUNS = 10;
-    /** Leniency of a look at cold workers alone. Bounds on CPU and log: held jobs tried at once; lines. */
-    private static final int TURN = -1, TRIES = 3, LOG_LINES = 100;
+    /** Leniency of a look at cold workers alone. Bounds on CPU and log: held jobs tried at once; lines. The
+     *  part of the tightest aim that a job waits for reports; of its patience, where it runs unknown. */
+    private static final int TURN = -1, TRIES = 3, LOG_LINES = 100, PATIENCE = 4;
 
     /** A worker: what the list, its reports and our own attempts say of it. */
     private static final class Server {
@@ -36,9 +34,8 @@
         WorkerState state;
         boolean suspect, silent;
         double free, usualFree, cap, held, queue;
-        long changedAt, usedAt = Long.MIN_VALUE / 4, restUntil, rest = FIRST_REST;
+        long changedAt, usedAt = Long.MIN_VALUE / 4, restUntil, rest = FIRST_REST, listed;
         long reportedAt = Long.MIN_VALUE / 4, probedAt = Long.MIN_VALUE / 4;
-        int listed;
         final List<Attempt> out = new ArrayList<>();
         final List<Push> coldSends = new ArrayList<>(0);
         final List<Request> asking = new ArrayList<>(0);
@@ -73,6 +70,7 @@
     private final boolean asks, listens;    // workers are probed; answers alone tell, connections are free
     private final double tie, patience;
     private final Map<Long, Server> servers = new TreeMap<>(Long::compareUnsigned);
+    private final List<Server> gone = new ArrayList<>();
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Integer, Runnable> timers = new HashMap<>();
     private final List<Request> held = new ArrayList<>();
@@ -108,7 +106,6 @@
         runs = new double[s.classes.size()];
         credit = new double[s.tenants.size()];
         Arrays.setAll(credit, t -> Math.max(0, CREDIT_JOBS / 2 - quota(t)));    // what one second brings
-        group();
     }
 
     // ---- Events
@@ -287,6 +284,7 @@
 
     /** A group drawn at random, or the next one round that holds a worker for this job; weighed. */
     private Drawn usable(Request r, int start, Drawn not, int leniency) {
+        if (groupsByClass.isEmpty()) group();
         List<List<Server>> groups = groupsByClass.get(r.job.jobClass() * zones.tiers() + r.tier);
         for (int i = 0; i < groups.size(); i++) {
             List<Server> group = groups.get(Math.floorMod(start + i, groups.size()));
@@ -752,22 +750,19 @@
         lists++;
         for (Worker info : list) {
             Server w = servers.computeIfAbsent(info.id(), id -> new Server());
-            w.info = info;
+            if (!info.isAlike(w.info)) groupsByClass.clear();
             w.listed = lists;
-            setState(w, info.state());
+            setState(w, info, info.state());
             coldUntil = Math.max(coldUntil, zones.startedAt(info) + s.coldFor);
         }
-        servers.values().stream().filter(w -> update != ListUpdate.DELTA && w.listed != lists)
-            .forEach(w -> setState(w, WorkerState.GONE));
-        servers.values().removeIf(w -> w.state == WorkerState.GONE && now - w.changedAt > PLACE_HOLD);
-        group();
+        if (update != ListUpdate.DELTA) servers.values().stream().filter(w -> w.listed != lists)
+            .forEach(w -> setState(w, w.info, WorkerState.GONE));
+        boolean left = gone.removeIf(w -> now - w.changedAt > PLACE_HOLD && servers.remove(w.info.id(), w));
+        if (left) groupsByClass.clear();
     }
 
     /** Cuts the sorted ids that a class may run on into aligned groups; who left lately keeps the place. */
     private void group() {
-        Arrays.fill(ready, 0);
-        servers.values().forEach(w -> ready[w.info.kind()] += w.state == WorkerState.READY ? 1 : 0);
-        groupsByClass.clear();
         // Guards against a class sent where it may not run: no attempt of it is drawn from anywhere else.
         for (int i = 0; i < s.classes.size() * zones.tiers(); i++) {
             int c = i / zones.tiers(), tier = i % zones.tiers();
@@ -778,8 +773,13 @@
         }
     }
 
-    private void setState(Server w, WorkerState state) {
+    private void setState(Server w, Worker info, WorkerState state) {
         boolean leaves = w.state == WorkerState.READY && state != w.state;
+        if (w.state == WorkerState.READY) ready[w.info.kind()]--;
+        if (state == WorkerState.READY) ready[info.kind()]++;
+        if (state != w.state) gone.remove(w);
+        if (state != w.state && state == WorkerState.GONE) gone.add(w);
+        w.info = info;
         w.changedAt = w.state == state ? w.changedAt : now;
         w.state = state;
         if (leaves) closeIdle(w);
