Discovery: a change is in force within 6 s of the return, however calls failed before

Need: a change counts as told 6 s after discovery had it and could be reached, also after failed and given-up calls.

At fault in Discovery: - watch(): every call could be dead for 6 s (WAIT + GRACE), so that what it missed came after 6.0 s and, with one refusal behind it, 6.6 s. A watch now waits 3 s and is given up after 4 s; a call behind a failure, a silence or a move asks for an answer within 0.1 s and fails after 3 s. It is no shorter, as discovery lets calls wait in its queue for seconds: given up sooner, they would be work for nobody. - older(): a service that has begun anew was believed after 10 s, and asked again after one more pause: 18.3 s until its list was in force. Now after 1 s, and asked at once. - takeList(): after a move to a service with lower revisions, its answer with nothing in it was taken for all changes: what had changed before was never told. The whole list is asked for then. The first call after a move is answered at once. - watch(): an agent's connection could take 1 s to fail; 0.2 s now, as what an agent gets counts at once.

An answer that takes longer than 3 s to come in whole (6 s before) is a failure: what comes later is too late for the rule.

--- a/src/main/java/badgermux/discovery/Discovery.java
+++ b/src/main/java/badgermux/discovery/Discovery.java
@@ -8,6 +8,7 @@
 import badgermux.decide.Dispatch;
 import badgermux.decide.Dispatch.ListUpdate;
 import badgermux.decide.Dispatch.WorkerState;
+import badgermux.decide.WatchTiming;
 import badgermux.cordon.Cordons;
 import badgermux.http.Address;
 import badgermux.http.BadMessage;
@@ -40,15 +41,6 @@
             Map<Long, Dispatch.Worker> before);
     }
 
-    /**
-     * How long a watch call asks discovery to wait for news, and how much longer its answer is waited for. What a call
-     * that fell silent misses counts as told 2 s after its wait: half of that is for the call that is made anew then.
-     */
-    private static final long WAIT = 5_000_000, GRACE = 1_000_000;
-    /** One whose answers stay older than the list in hand for so long has begun anew: it is asked for all. */
-    private static final long BEHIND = 2 * WAIT;
-    /** An agent that pushes is called again so soon after a failed call: a watch goes on over 200 ms at most. */
-    private static final long AGAIN = 100_000;
     private static final int MAX_LIST = 4 << 20;
     private static final long LOG_AFTER = 500_000;
     private static final Map<String, WorkerState> PHASES = Map.of("SERVING", WorkerState.READY,
@@ -81,8 +73,8 @@
     private long behindSince;
     private boolean listed;
     private boolean failing;
-    /** Whether the call before this one got no answer in time. */
-    private boolean silent;
+    /** Whether no list has come since a call failed, fell silent or went to another address. */
+    private boolean recovering;
     /** Whether it is another discovery service that is asked now, which may count revisions of its own. */
     private boolean moved;
 
@@ -94,7 +86,7 @@
      * @param zones the names of the zones, in the module's order
      * @param kinds the names of the kinds of backends, in the module's order
      * @param guard says what of a list is believed; null for all of it
-     * @param hands the runners that operators have taken out; null where they can't
+     * @param cordons the runners that operators have taken out; null where they can't
      * @param pushed whether the list comes unasked, from an agent beside us: the module then asks for none, and the agent
      *               is watched from the start on, whatever becomes of a call
      */
@@ -141,24 +133,26 @@
         metrics.add(Count.DIRECTOR_CALLS);
         call = new Call();
         if (connection == null || !connection.isReusable()) {
-            connection = new ClientConnection(loop, deadlines, address, GRACE, MAX_LIST, () -> { });
+            connection = new ClientConnection(loop, deadlines, address,
+                pushed ? WatchTiming.AGENT_CONNECT_LIMIT : WatchTiming.CONNECT_LIMIT, MAX_LIST, () -> { });
         }
         // Guards against a discovery service that takes the call and falls silent.
-        call.limit = deadlines.after(WAIT + GRACE, this::noAnswer);
+        call.limit = deadlines.after(recovering ? WatchTiming.RECOVERY_LIMIT : WatchTiming.WATCH_LIMIT, this::noAnswer);
         connection.start(call);
     }
 
     /**
      * A watch that has fallen silent is opened anew at once, on another connection: a drain that it missed counts as told
-     * soon, and after a pause, as behind a failure, the answer would come too late. A second silence is a failure.
+     * soon, and after a pause, as behind a failure, the answer would come too late. Silence of the call made anew is a
+     * failure.
      */
     private void noAnswer() {
-        if (silent) {
+        if (recovering) {
             connection.close();
         } else {
             metrics.add(Count.DIRECTOR_SILENCES);
             drop();
-            silent = true;
+            recovering = true;
             watch();
         }
     }
@@ -183,7 +177,7 @@
         if (!next.equals(address)) {
             address = next;
             moved = true;
-            silent = false;
+            recovering = true;
             drop();
         }
         watch();
@@ -192,14 +186,14 @@
     /** The list in hand goes on. One line tells of the first failure: a discovery service that is down fails many calls. */
     private void failed(String why) {
         metrics.add(Count.DIRECTOR_FAILURES);
-        silent = false;
+        recovering = true;
         if (!failing) {
             Logger.warn("the director fails: {}; the list in hand goes on", why);
         }
         failing = true;
         engine.workers(ListUpdate.FAILED, List.of());
         if (pushed) {
-            deadlines.after(AGAIN, this::watch);
+            deadlines.after(WatchTiming.AGENT_PAUSE, this::watch);
         }
     }
 
@@ -222,15 +216,17 @@
             older(listing);
             return;
         }
+        // Guards against a change that another discovery service, with revisions of its own, made before that one.
+        boolean begunAnew = listing.revision < revision && !listing.complete;
         behindSince = 0;
         moved = false;
         if (failing) {
             Logger.info("the director answers again");
         }
         failing = false;
-        silent = false;
+        recovering = false;
         metrics.add(Count.DIRECTOR_LISTS);
-        revision = listing.revision;
+        revision = begunAnew ? 0 : listing.revision;
         listed |= listing.complete || !listing.members.isEmpty();
         // The next call goes out first: a watch goes on only if it follows at once.
         watch();
@@ -246,13 +242,14 @@
         List<Dispatch.Worker> leaving = entries(listing.members.stream()
             .filter(member -> member != null && numbers.containsKey(member.id) && !"SERVING".equals(member.phase)).toList());
         behindSince = behindSince == 0 ? clock.now() : behindSince;
-        if (clock.now() - behindSince > BEHIND || !leaving.isEmpty()) {
-            revision = 0;
-        }
         if (!leaving.isEmpty()) {
             tell(ListUpdate.DELTA, leaving);
         }
         failed("its revision " + listing.revision + " is older than the one in hand");
+        if (clock.now() - behindSince > WatchTiming.BEHIND || !leaving.isEmpty()) {
+            revision = 0;
+            watch();
+        }
     }
 
     /** The module hears of the news first; then who has left is forgotten here, so that the tables do not grow. */
@@ -388,7 +385,8 @@
         private int status;
 
         @Override public ByteBuf request() {
-            return Bytes.get("/v1/servers?since=" + revision + "&timeout_ms=" + WAIT / 1000,
+            long wait = recovering ? WatchTiming.RECOVERY_WAIT : WatchTiming.WATCH_WAIT;
+            return Bytes.get("/v1/servers?since=" + revision + "&timeout_ms=" + wait / 1000,
                 address.getHostString() + ':' + address.getPort());
         }
 
--- a/src/test/java/badgermux/it/Program.java
+++ b/src/test/java/badgermux/it/Program.java
@@ -60,6 +60,15 @@
         return program;
     }
 
+    /** Starts it with operators' calls and a discovery service of the test's own; {@code command} is that of the shell. */
+    static Program watching(String discovery, String command, Path folder, String members, int sockets, String settings)
+            throws IOException {
+        Program program = new Program(command, config(folder, members, sockets, 192, settings),
+            Map.of("GW_ADMIN", "127.0.0.1:0", "TMPDIR", folder.toString(), "GW_DISCOVERY", discovery));
+        program.awaitPort();
+        return program;
+    }
+
     /** Starts it with a folder as its $TMPDIR, which may have been used before. */
     static Program in(Path folder, String members, String settings) throws IOException {
         Program program = new Program(command(), config(folder, members, 1024, 192, settings),
