Connections are accepted one after another, so that no share of the descriptors is exceeded

Need: idle clients may fill the descriptors while discovery is down; discovery, backends and operators keep theirs.

At fault: Front, Console and AdminServer count a connection as it becomes active, and shut their listener off or evict then; the listener accepts 16 before it tells of the first.

Change: listeners accept one connection a round. Front.cutOffEnding makes room for 16 at once where it made room for one, which the 16 accepted together had made up for: BadClientsIT's silentConnectionsMakeRoomForOthers failed without.

Ruled out: a larger spare in Room (by reckoning most of the 36 connections to backends at 128 would go); connections that linger (they count until they are closed).

DescriptorsIT, under a limit of the system's own, fails without this: "Too many open files" in the log.

--- a/src/main/java/badgermux/admin/AdminServer.java
+++ b/src/main/java/badgermux/admin/AdminServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.ByteArrayOutputStream;
@@ -73,6 +74,8 @@
 
     public ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            // Guards against a batch that is accepted whole before the first of it is counted: one after another.
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
--- a/src/main/java/badgermux/console/Console.java
+++ b/src/main/java/badgermux/console/Console.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
@@ -44,6 +45,8 @@
     /** Listens on this address only. */
     public ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            // Guards against a batch that is accepted whole before the first of it is counted: one after another.
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
             .option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
@@ -46,6 +47,8 @@
     static final long SPARED_MOVING = 3_000_000;
     /** How soon those who wait to be accepted are looked after again, while there is no room. */
     private static final long ACCEPT_AGAIN = 20_000;
+    /** For so many there has to be room then, if those that are heard out can make it. */
+    private static final int ACCEPTED_AT_ONCE = 16;
     /** When a request that is refused here, for want of room, should come again. */
     private static final long COME_BACK = 500_000;
 
@@ -152,7 +155,9 @@
     }
 
     private ServerBootstrap bootstrap(EventLoopGroup loop) {
+        // Guards against a batch that is accepted whole before the first of it is counted: one after another.
         return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     channel.pipeline().addLast(new FrontConnection(Front.this, channel));
@@ -278,8 +283,9 @@
 
     /** Guards against a crowd that is heard out while nobody more can be let in: each has its moment, and no more. */
     private void cutOffEnding() {
+        int most = cap + overCap - Math.min(ACCEPTED_AT_ONCE, overCap);
         for (FrontConnection connection : List.copyOf(ending)) {
-            if (connections.size() < cap + overCap || now() - connection.endedAt() < SPARED_IN_NEED) {
+            if (connections.size() <= most || now() - connection.endedAt() < SPARED_IN_NEED) {
                 return;
             }
             closed(connection);     // at once: its end is told later
--- a/src/test/java/badgermux/it/Peer.java
+++ b/src/test/java/badgermux/it/Peer.java
@@ -143,6 +143,22 @@
         return call;
     }
 
+    /** Gives this result to all who come, until a while passes in which nobody does. */
+    void answerAll(String result) throws IOException {
+        try {
+            while (true) {
+                take().done(result);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** How many requests have come that no test has taken. */
+    int waiting() {
+        return calls.size();
+    }
+
     /** A request that is there already, or null. */
     Call peek() {
         return calls.poll();
