Discovery: want of a descriptor is no failed call, and one is tried for every 5 ms

Need: the list is found again though idle clients fill the descriptors. At fault: Discovery.watch(), which told a connection that could not be opened (EMFILE) as a failure of discovery, with a pause of up to 1.1 s behind each: a descriptor that became free meanwhile went to the crowd.

Change: such a call is made again after 5 ms, no failure is told, and one line in the log says so.

DescriptorsIT fails without: no call was made again at once, and want of a descriptor counted as a failure of discovery.

Ruled out: a descriptor held open for this alone, since within the configured limit the shares leave room for discovery's call at all times (118 of 128 held at most).

--- a/src/main/java/badgermux/discovery/Discovery.java
+++ b/src/main/java/badgermux/discovery/Discovery.java
@@ -42,6 +42,8 @@
     }
 
     private static final int MAX_LIST = 4 << 20;
+    /** How soon a connection is tried again that could not be opened for want of a descriptor. */
+    private static final long NO_DESCRIPTOR_RETRY = 5_000;
     private static final long LOG_AFTER = 500_000;
     private static final Map<String, WorkerState> PHASES = Map.of("SERVING", WorkerState.READY,
         "DRAINING", WorkerState.DRAINING, "DELETED", WorkerState.GONE);
@@ -75,6 +77,8 @@
     private boolean failing;
     /** Whether no list has come since a call failed, fell silent or went to another address. */
     private boolean recovering;
+    /** Whether the last call could not be made for want of a descriptor. */
+    private boolean wanting;
     /** Whether it is another discovery service that is asked now, which may count revisions of its own. */
     private boolean moved;
 
@@ -130,17 +134,32 @@
         if (call != null) {
             return;
         }
-        metrics.add(Count.DIRECTOR_CALLS);
-        call = new Call();
         if (connection == null || !connection.isReusable()) {
             connection = new ClientConnection(loop, deadlines, address,
                 pushed ? WatchTiming.AGENT_CONNECT_LIMIT : WatchTiming.CONNECT_LIMIT, MAX_LIST, () -> { });
         }
+        if (!connection.isOpened()) {
+            noDescriptor();
+            return;
+        }
+        wanting = false;
+        metrics.add(Count.DIRECTOR_CALLS);
+        call = new Call();
         // Guards against a discovery service that takes the call and falls silent.
         call.limit = deadlines.after(recovering ? WatchTiming.RECOVERY_LIMIT : WatchTiming.WATCH_LIMIT, this::noAnswer);
         connection.start(call);
     }
 
+    /** Guards against a crowd that takes every descriptor as it becomes free: this is no failure, and has no pause. */
+    private void noDescriptor() {
+        connection = null;
+        if (!wanting) {
+            Logger.warn("there is no descriptor for a call to the director");
+        }
+        wanting = true;
+        deadlines.after(NO_DESCRIPTOR_RETRY, this::watch);
+    }
+
     /**
      * A watch that has fallen silent is opened anew at once, on another connection: a drain that it missed counts as told
      * soon, and after a pause, as behind a failure, the answer would come too late. Silence of the call made anew is a
