--- a/src/main/java/badgermux/OnCall.java
+++ b/src/main/java/badgermux/OnCall.java
@@ -105,7 +105,7 @@
         discovery = list;
         front = clients;
         metrics = counts;
-        console = new Console(loop, deadlines, counts, this, Room.of(sockets, true).callers());
+        console = new Console(loop, deadlines, counts, this, DescriptorBudget.of(sockets, true).callers());
         upgrade.join(list, clients, runners, engine, console, sockets);
     }
 
--- a/src/main/java/badgermux/Server.java
+++ b/src/main/java/badgermux/Server.java
@@ -156,15 +156,15 @@
             throw new IllegalStateException("ended before clients were let in");
         }
         Dispatch.Settings settings = config.settings();
-        Room room = Room.of(config.sockets(), onCall != null);
+        DescriptorBudget budget = DescriptorBudget.of(config.sockets(), onCall != null);
         Engine<Relay> engine = new Engine<>(clock::now, deadlines, metrics, settings.maxAttempts);
         Backends backends = new Backends(loop, deadlines, clock::now, metrics, engine, config.connectTimeout(),
-            settings.connectionIdle, room.toBackends(), settings.reports == Dispatch.ReportMode.ON_PROBE);
+            settings.connectionIdle, budget.toBackends(), settings.reports == Dispatch.ReportMode.ON_PROBE);
         discovery = new Discovery(loop, deadlines, clock, metrics, engine, backends, config.discovery(),
             known, config.zones(), config.kinds(), zones == null ? null : zones::guard,
             onCall == null ? null : onCall.cordons(), settings.listPushed);
-        front = new Front(clock::now, deadlines, metrics, engine, settings, discovery::isListed, room.clients(),
-            room.overCap(), ((long) config.memoryMb() << 20) / HELD_PART,
+        front = new Front(clock::now, deadlines, metrics, engine, settings, discovery::isListed, budget.clients(),
+            budget.overCap(), ((long) config.memoryMb() << 20) / HELD_PART,
             operators == null ? null : operators.gate(metrics));
         engine.join(new Dispatcher(settings, config.seed(), engine, zones), backends, discovery::watch);
         discovery.start();
--- a/src/main/java/badgermux/Upgrade.java
+++ b/src/main/java/badgermux/Upgrade.java
@@ -365,10 +365,10 @@
 
     /** The two of an upgrade have half of the descriptors each: one dispatcher may hold no more than all. */
     private void share() {
-        Room room = Room.of(before == null && after == null ? sockets : sockets / 2, true);
-        front.limit(room.clients(), room.overCap());
-        backends.limit(room.toBackends());
-        console.limit(room.callers());
+        DescriptorBudget budget = DescriptorBudget.of(before == null && after == null ? sockets : sockets / 2, true);
+        front.limit(budget.clients(), budget.overCap());
+        backends.limit(budget.toBackends());
+        console.limit(budget.callers());
     }
 
     private void pass(Link from, String line) {
