--- a/src/main/java/badgermux/front/Front.java
+++ b/src/main/java/badgermux/front/Front.java
@@ -16,6 +16,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
@@ -49,6 +50,8 @@
     static final long SPARED_MOVING = 3_000_000;
     /** How soon those who wait to be accepted are looked after again, while there is no room. */
     private static final long ACCEPT_AGAIN = 20_000;
+    /** For so many there has to be room then, if those that are heard out can make it. */
+    private static final int ACCEPTED_AT_ONCE = 16;
     /** When a request that is refused here, for want of room, should come again. */
     private static final long COME_BACK = 500_000;
     /** How often a connection is read in one round: Netty's own number. A request of ours takes fewer, its body included. */
@@ -167,6 +170,8 @@
             .maxMessagesPerRead(READS_AT_ONCE);
         return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, untilNothingIsLeft)
+            // Guards against a batch that is accepted whole before the first of it is counted: one after another.
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
             .handler(new FailedAccepts(this::pauseAccepting))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
@@ -334,8 +339,9 @@
 
     /** Guards against a crowd that is heard out while nobody more can be let in: each has its moment, and no more. */
     private void cutOffEnding() {
+        int most = cap + overCap - Math.min(ACCEPTED_AT_ONCE, overCap);
         for (FrontConnection connection : List.copyOf(ending)) {
-            if (connections.size() < cap + overCap || now() - connection.endedAt() < SPARED_IN_NEED) {
+            if (connections.size() <= most || now() - connection.endedAt() < SPARED_IN_NEED) {
                 return;
             }
             closed(connection);     // at once: its end is told later
