Make one attempt only for a request whose client's time is not known

Ruled out: to reckon its time from when the queue of the listener was last empty; under a crowd that is seconds ago, and every such request would be refused at once.

Change: Front.letsInLate marks such a connection; Engine gives its first request one attempt. EngineTest has the case. RareMomentsIT: waits for its clients to be let in, now that listeners accept one a round; the last answer of a module that leaves a request open is judged by time, as the request's own end gave the same answer (found with the mend taken out).

--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -29,17 +29,27 @@
         private final P payload;
         private final int jobClass;
         private final long attemptLimit;
+        private final boolean timeKnown;
         private final List<Long> attempts = new ArrayList<>(2);
         private Deadlines.Deadline overdue;
         private int out;
         private boolean over;
         private boolean timedOut;
 
-        Request(Asker asker, P payload, int jobClass, long attemptLimit) {
+        Request(Asker asker, P payload, int jobClass, long attemptLimit, boolean timeKnown) {
             this.asker = asker;
             this.payload = payload;
             this.jobClass = jobClass;
             this.attemptLimit = attemptLimit;
+            this.timeKnown = timeKnown;
+        }
+
+        /**
+         * Whether one attempt more may begin. Guards against a further attempt that tells its backend more time than its
+         * client has: where that is not known, there is only a first one.
+         */
+        boolean mayAttempt(long now, int maxAttempts) {
+            return !over && attempts.size() < (timeKnown ? maxAttempts : 1) && now < attemptLimit;
         }
     }
 
@@ -94,12 +104,15 @@
     // ---- From the front
 
     /**
-     * Takes a request of a class and a tenant in, whose client gives up at {@code until}; returns the handle for
-     * {@link #askerGone}.
+     * Takes a request of a class and a tenant in.
+     *
+     * @param until     when its client gives up, in microseconds on the clock; the latest time, where it is not known
+     * @param timeKnown whether that is known: its connection did not wait to be let in
+     * @return the handle for {@link #askerGone}
      */
-    public long take(Asker asker, P payload, int jobClass, int tenant, double slots, long until) {
+    public long take(Asker asker, P payload, int jobClass, int tenant, double slots, long until, boolean timeKnown) {
         metrics.add(Count.REQS_TAKEN);
-        Request<P> r = new Request<>(asker, payload, jobClass, until - ATTEMPT_MARGIN);
+        Request<P> r = new Request<>(asker, payload, jobClass, until - ATTEMPT_MARGIN, timeKnown);
         long id = requests.add(r);
         open++;
         r.overdue = deadlines.at(until - ANSWER_MARGIN, () -> overdue(id));
@@ -346,7 +359,7 @@
         }
         Attempt a = new Attempt(job, r.attempts.size(), worker);
         r.out++;
-        if (r.over || r.attempts.size() >= maxAttempts || clock.getAsLong() >= r.attemptLimit) {
+        if (!r.mayAttempt(clock.getAsLong(), maxAttempts)) {
             r.attempts.add(0L);
             tell(job, () -> over(a, Outcome.MOOT, null, null));
             return;
--- a/src/main/java/badgermux/front/FrontConnection.java
+++ b/src/main/java/badgermux/front/FrontConnection.java
@@ -372,16 +372,20 @@
     }
 
     private void take(RequestHead fields, int jobClass, byte[] body) {
-        if (letInLate) {
-            letInLate = false;
-            Incoming settling = current;
-            front.deadlines().after(SETTLE, () -> {
-                if (!closed && !ending && current == settling) {
-                    take(fields, jobClass, body);
-                }
-            });
+        if (!letInLate) {
+            take(fields, jobClass, body, true);
             return;
         }
+        letInLate = false;
+        Incoming settling = current;
+        front.deadlines().after(SETTLE, () -> {
+            if (!closed && !ending && current == settling) {
+                take(fields, jobClass, body, false);
+            }
+        });
+    }
+
+    private void take(RequestHead fields, int jobClass, byte[] body, boolean timeKnown) {
         if (front.isPastLastAnswer()) {     // it has been judged for as long as that
             turnAway(jobClass);
             return;
@@ -390,7 +394,7 @@
         // Guards against a patience beyond that of its class: the module would take all others for late.
         long patience = Math.min(fields.timeout() > 0 ? fields.timeout() : Long.MAX_VALUE, front.patience(jobClass));
         long taken = front.engine().take(this, relay, jobClass, front.tenantOf(fields.tenant()), fields.slots(),
-            current.cameAt + patience);
+            current.cameAt + patience, timeKnown);
         request = busy ? taken : 0;     // it may have its answer by now
     }
 
--- a/src/test/java/badgermux/core/EngineTest.java
+++ b/src/test/java/badgermux/core/EngineTest.java
@@ -29,6 +29,7 @@
     private Runnable onRequest = () -> { };
     private Runnable onOutcome = () -> { };
     private long job;
+    private boolean timeKnown = true;
 
     private final Asker asker = new Asker() {
         @Override public void served(byte[] result) {
@@ -114,7 +115,7 @@
 
     private void take(Runnable decision) {
         onRequest = decision;
-        engine.take(asker, "payload", 0, 0, 1, now + 10 * SECOND);
+        engine.take(asker, "payload", 0, 0, 1, now + 10 * SECOND, timeKnown);
     }
 
     private void sendTwo() {
@@ -163,7 +164,7 @@
             @Override public void failed(boolean late) { }
         };
         onRequest = () -> engine.send(job, 1);
-        engine.take(breaks, "payload", 0, 0, 1, now + 10 * SECOND);
+        engine.take(breaks, "payload", 0, 0, 1, now + 10 * SECOND, true);
         engine.ended(attempted.get(0), Outcome.SERVED, bytes("r"), null);
         assertEquals(List.of("0 SERVED true"), told);
         assertEquals(1, metrics.get(Count.EXCEPTIONS));
@@ -278,4 +279,18 @@
         assertEquals(List.of("a", "b"), told);
         assertEquals(1, metrics.get(Count.EXCEPTIONS));
     }
+
+    /** A connection that waited to be let in: what its client has left is not known, and may not be told once more. */
+    @Test void aRequestOfUnknownTimeHasOneAttemptOnly() {
+        timeKnown = false;
+        onOutcome = () -> {
+            if (told.size() < 2) {
+                engine.send(job, 2);
+            }
+        };
+        take(() -> engine.send(job, 1));
+        engine.ended(attempted.get(0), Outcome.REJECTED, null, null);
+        assertEquals(1, attempted.size(), "the second one never begins");
+        assertTrue(told.get(told.size() - 1).contains("MOOT"), told.toString());
+    }
 }
--- a/src/test/java/badgermux/it/Parts.java
+++ b/src/test/java/badgermux/it/Parts.java
@@ -118,7 +118,7 @@
         String head = "POST /preview HTTP/1.1";
         String id = Client.id();
         return engine.take(nobody, new Relay(id, head, "X-Request-ID: " + id + "\r\n", new byte[0], null), 0, 0, 1,
-            clock.now() + 5_000_000);
+            clock.now() + 5_000_000, true);
     }
 
     /** How many connections to runners there are. */
--- a/src/test/java/badgermux/it/RareMomentsIT.java
+++ b/src/test/java/badgermux/it/RareMomentsIT.java
@@ -193,8 +193,13 @@
         parts.refusesAtTheEnd = false;
         client.send(Client.request("/preview", "5000m", "", ""));
         parts.job();
-        parts.held(() -> parts.front.drain(parts.now() - 3_300_000, () -> { }));
+        long[] drainedAt = new long[1];
+        parts.held(() -> {
+            drainedAt[0] = parts.now();
+            parts.front.drain(drainedAt[0] - 3_300_000, () -> { });
+        });
         assertEquals(504, client.read().status());
+        parts.held(() -> assertTrue(parts.now() - drainedAt[0] < 2_000_000, "at the end, not when its client gives up"));
     }
 
     /** Two whole requests on one connection, and the process is told to end: both are answered. */
@@ -261,6 +266,7 @@
         for (int i = 0; i < 8; i++) {
             clients.add(parts.client());
         }
+        Await.until("all are let in", () -> parts.connections() == 1 + clients.size());
         AtomicInteger jobs = new AtomicInteger();
         AtomicInteger connecting = new AtomicInteger();
         parts.sendsTo = 1;
