--- /dev/null
+++ b/src/lab/java/badgermux/scale/Child.java
@@ -0,0 +1,67 @@
+package badgermux.scale;
+
+import com.google.gson.Gson;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.File;
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/** The handle of a {@link HollowProcess}: it ends when this end closes, or dies. */
+final class Child implements Closeable {
+    private static final int END_S = 10;
+    private static final Gson GSON = new Gson();
+
+    final int dispatchers;
+    private final Process process;
+    private final Writer orders;
+    private final BufferedReader answers;
+
+    Child(HollowProcess.Plan plan, int heapMb) throws IOException {
+        dispatchers = plan.configs().size();
+        process = new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java",
+            "-Xmx" + heapMb + "m", "-XX:+UseSerialGC", "-XX:CICompilerCount=2", "-Dtinylog.level=error",
+            "-Dio.netty.allocator.type=unpooled", "-cp", System.getProperty("java.class.path"), HollowProcess.class.getName())
+            .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        orders = process.outputWriter(StandardCharsets.UTF_8);
+        answers = process.inputReader(StandardCharsets.UTF_8);
+        tell(GSON.toJson(plan));
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    /** Gives an order and waits until it is carried out. */
+    String order(HollowProcess.Order order) throws IOException {
+        tell(order.name());
+        String answer = answers.readLine();
+        if (answer == null) {
+            throw new IOException("a process of hollow dispatchers has ended");
+        }
+        return answer;
+    }
+
+    HollowProcess.Report report() throws IOException {
+        return GSON.fromJson(order(HollowProcess.Order.REPORT), HollowProcess.Report.class);
+    }
+
+    private void tell(String line) throws IOException {
+        orders.write(line + "\n");
+        orders.flush();
+    }
+
+    @Override public void close() throws IOException {
+        orders.close();
+        try {
+            if (!process.waitFor(END_S, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/lab/java/badgermux/scale/HollowProcess.java
@@ -0,0 +1,150 @@
+package badgermux.scale;
+
+import badgermux.config.Config;
+import badgermux.config.ConfigException;
+import badgermux.metrics.Metrics;
+import badgermux.metrics.Metrics.Count;
+import com.google.gson.Gson;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * A process of many hollow dispatchers on one event loop. Its plan comes as the first line of standard input; then come
+ * the words of {@link Order}, each answered by a line. It ends with its input, so that it outlives nobody.
+ */
+final class HollowProcess {
+    /** What it is told to do. */
+    enum Order { GO, MARK, QUIET, REPORT }
+
+    /**
+     * What one process is to do.
+     *
+     * @param first      the number of its first dispatcher
+     * @param configs    the file of each one's GW_CONFIG
+     * @param discovery  the port of each one's discovery
+     * @param starts     how many times they were started before
+     * @param rate       requests a second, all of them together
+     * @param connections to workers, of each dispatcher at most
+     */
+    record Plan(int first, List<String> configs, List<Integer> discovery, int starts, double rate, int tenants,
+        int connections, long seed) { }
+
+    /** What it has to tell. Times of the loop are how much later than asked for a timer came. */
+    record Report(long asked, long served, long synthetic, long failed, long lost, long second, Times loopLate, Times news,
+        Times decisions, long heapBytes, Map<Count, Long> counts) { }
+
+    private static final long TICK_MS = 10, LONGEST_US = 60_000_000;
+    private static final Gson GSON = new Gson();
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Plan plan;
+    private final List<HollowDispatcher> dispatchers = new ArrayList<>();
+    private final HollowDispatcher.Answers answers = new HollowDispatcher.Answers();
+    private final TimedModule timed = new TimedModule();
+    private final Histogram loopLate = new Histogram(LONGEST_US, 3);
+    private final UniformRandomProvider random;
+    private final ZigguratSampler.Exponential gaps;
+    private Future<?> nextRequest;
+    private long tickDue;
+
+    private HollowProcess(Plan plan) throws ConfigException {
+        this.plan = plan;
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed + plan.first);
+        gaps = ZigguratSampler.Exponential.of(random);
+        for (int i = 0; i < plan.configs.size(); i++) {
+            Config config = Config.read(Map.of("GW_CONFIG", plan.configs.get(i), "GW_LISTEN", "127.0.0.1:0",
+                "GW_DISCOVERY", "127.0.0.1:" + plan.discovery.get(i)));
+            dispatchers.add(new HollowDispatcher(loop, config, plan.connections, new RequestIds(plan.first + i, plan.starts),
+                answers, timed));
+        }
+    }
+
+    public static void main(String[] args) throws Exception {
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        HollowProcess process = new HollowProcess(GSON.fromJson(in.readLine(), Plan.class));
+        process.loop.submit(process::start).get();
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            System.out.println(process.obey(Order.valueOf(line)));
+        }
+        System.exit(0);
+    }
+
+    private void start() {
+        dispatchers.forEach(HollowDispatcher::start);
+        tickDue = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TICK_MS);
+        loop.schedule(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private String obey(Order order) throws Exception {
+        switch (order) {
+            case GO -> loop.submit(this::scheduleRequest).get();
+            case MARK -> loop.submit(this::reset).get();
+            case QUIET -> loop.submit(() -> nextRequest.cancel(false)).get();
+            default -> {
+                long heap = heapBytes();
+                return GSON.toJson(loop.submit(() -> report(heap)).get());
+            }
+        }
+        return "{}";
+    }
+
+    private void reset() {
+        loopLate.reset();
+        timed.news.reset();
+        timed.others.reset();
+    }
+
+    /** How late the loop comes to what is due: what a stall does to all that it serves. */
+    private void tick() {
+        long now = System.nanoTime();
+        loopLate.recordValue(Math.min(LONGEST_US, Math.max(0, (now - tickDue) / 1_000)));
+        tickDue = now + TimeUnit.MILLISECONDS.toNanos(TICK_MS);
+        loop.schedule(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void scheduleRequest() {
+        long micros = (long) (gaps.sample() * 1e6 / plan.rate);
+        nextRequest = loop.schedule(this::request, micros, TimeUnit.MICROSECONDS);
+    }
+
+    private void request() {
+        scheduleRequest();
+        dispatchers.get(random.nextInt(dispatchers.size())).ask(random.nextInt(Math.max(1, plan.tenants)));
+    }
+
+    private Report report(long heap) {
+        Map<Count, Long> counts = new EnumMap<>(Count.class);
+        for (HollowDispatcher dispatcher : dispatchers) {
+            Metrics metrics = dispatcher.metrics();
+            for (Count count : Count.values()) {
+                counts.merge(count, metrics.get(count), Long::sum);
+            }
+        }
+        counts.values().removeIf(count -> count == 0);
+        return new Report(answers.asked, answers.served, answers.synthetic, answers.failed, answers.lost(), answers.second,
+            Times.ofMicros(loopLate), Times.ofMicros(timed.news), Times.ofMicros(timed.others), heap, counts);
+    }
+
+    /** What is left on the heap after a collection. */
+    private static long heapBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+}
--- /dev/null
+++ b/src/lab/java/badgermux/scale/HollowWorker.java
@@ -0,0 +1,251 @@
+package badgermux.scale;
+
+import badgermux.core.Names;
+import badgermux.http.Bytes;
+import badgermux.http.Head;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A worker without work: it takes attempts, lets each run for its time, tells reports, drains, dies and comes back cold.
+ * All state is used on its one event loop.
+ */
+final class HollowWorker {
+    private static final int MOST_WAITING = 16, BACKLOG = 16;
+    private static final String NOT_PROCESSED = "X-Not-Processed: 1\r\n";
+
+    enum Phase { SERVING, DRAINING, DOWN }
+
+    /** A request that was taken, until its last line. */
+    private static final class Task {
+        private final String id;
+        private final Connection connection;
+        private boolean gone;
+
+        Task(String id, Connection connection) {
+            this.id = id;
+            this.connection = connection;
+        }
+    }
+
+    private final int number;
+    private final EventLoop loop;
+    private final int portCount;
+    private final double meanRunMs;
+    private final Traffic traffic;
+    private final RuleCheck rules;
+    private final List<Channel> listeners = new ArrayList<>();
+    private final List<Set<Connection>> connections = new ArrayList<>();
+    private final ArrayDeque<Task> waiting = new ArrayDeque<>();
+    private final boolean[] cut;
+    private Phase phase = Phase.DOWN;
+    /** Counts its starts: what ran before the last one is gone. */
+    private int life;
+    private int running;
+    /** When it started cold, {@link System#nanoTime}; 0 for long ago. */
+    private long coldSince;
+    private RuleCheck.Cold cold;
+    private long drainChange;
+
+    HollowWorker(int number, EventLoop loop, int portCount, double meanRunMs, Traffic traffic, RuleCheck rules) {
+        this.number = number;
+        this.loop = loop;
+        this.portCount = portCount;
+        this.meanRunMs = meanRunMs;
+        this.traffic = traffic;
+        this.rules = rules;
+        cut = new boolean[portCount];
+        for (int p = 0; p < portCount; p++) {
+            connections.add(new HashSet<>());
+        }
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    /** Starts to listen; the ports, from the system. */
+    int[] listen() throws InterruptedException {
+        int[] ports = new int[portCount];
+        listeners.clear();
+        for (int p = 0; p < portCount; p++) {
+            int port = p;
+            Channel channel = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override protected void initChannel(SocketChannel accepted) {
+                        accepted.pipeline().addLast(new Connection(port));
+                    }
+                }).bind("127.0.0.1", 0).sync().channel();
+            listeners.add(channel);
+            ports[p] = ((InetSocketAddress) channel.localAddress()).getPort();
+        }
+        return ports;
+    }
+
+    void start(boolean isCold) {
+        phase = Phase.SERVING;
+        coldSince = isCold ? System.nanoTime() : 0;
+        cold = isCold ? new RuleCheck.Cold(meanRunMs) : null;
+        drainChange = 0;
+    }
+
+    /** It drains: {@code change} is the number under which discovery tells of it. */
+    void drain(long change) {
+        phase = Phase.DRAINING;
+        rules.drained();
+        drainChange = change;
+        for (Task task = waiting.poll(); task != null; task = waiting.poll()) {
+            line(task, "returned", "");
+            end(task);
+        }
+    }
+
+    boolean isIdle() {
+        return running == 0 && waiting.isEmpty();
+    }
+
+    /** Its machine dies: connections are reset, new ones refused. */
+    void die() {
+        phase = Phase.DOWN;
+        life++;
+        running = 0;
+        waiting.clear();
+        listeners.forEach(Channel::close);
+        connections.forEach(all -> List.copyOf(all).forEach(StandInConnection::reset));
+    }
+
+    /**
+     * Cuts off those who use one of its ports: connections stay open and silent, and new ones do not come up beyond the few
+     * that the system holds. When it is healed, the connections of before are reset.
+     */
+    void cut(int port, boolean off) {
+        cut[port] = off;
+        if (phase == Phase.DOWN) {
+            return;
+        }
+        listeners.get(port).config().setAutoRead(!off);
+        for (Connection connection : List.copyOf(connections.get(port))) {
+            if (off) {
+                connection.silence();
+            } else {
+                connection.reset();
+            }
+        }
+    }
+
+    private void probed(Connection connection) {
+        String load = "TEXT x0=" + (Layout.SLOTS - running) + ", inflight=" + running + ", queue=" + waiting.size()
+            + ", recent_ms=" + meanRunMs;
+        ByteBuf answer = Bytes.response(200, "OK", "", load.getBytes(StandardCharsets.US_ASCII), true);
+        traffic.out(Traffic.Purpose.PROBES, answer.readableBytes());
+        connection.write(answer);
+    }
+
+    private void attempted(Connection connection, String id) {
+        rules.attempt(Integer.parseInt(id.substring(0, RequestIds.DISPATCHER_DIGITS), 16), number, drainChange);
+        if (cold != null) {
+            cold = rules.coldWork(cold, number, coldSince, runMs(id));
+        }
+        if (phase == Phase.DRAINING || waiting.size() >= MOST_WAITING) {
+            send(connection, Bytes.response(503, "Service Unavailable", NOT_PROCESSED, new byte[0], true));
+            return;
+        }
+        send(connection, Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            StandardCharsets.ISO_8859_1));
+        connection.task = new Task(id, connection);
+        waiting.add(connection.task);
+        startWaiting();
+    }
+
+    private void startWaiting() {
+        while (running < Layout.SLOTS && !waiting.isEmpty()) {
+            Task task = waiting.poll();
+            if (!task.gone) {
+                run(task);
+            }
+        }
+    }
+
+    private void run(Task task) {
+        running++;
+        line(task, "started", "");
+        int startedIn = life;
+        long micros = (long) (1_000 * runMs(task.id) / RuleCheck.warmth(coldSince, System.nanoTime()));
+        loop.schedule(() -> {
+            if (life == startedIn) {
+                running--;
+                line(task, "done", ",\"result\":\"ok\"");
+                end(task);
+                startWaiting();
+            }
+        }, micros, TimeUnit.MICROSECONDS);
+    }
+
+    /** How long a request runs when warm: drawn from its id, so that each attempt at it takes as long. */
+    private double runMs(String id) {
+        double drawn = (Names.hash(id) >>> 11) * 0x1p-53;
+        return meanRunMs * (Layout.SHORTEST_RUN + drawn * (Layout.LONGEST_RUN - Layout.SHORTEST_RUN));
+    }
+
+    private void line(Task task, String state, String more) {
+        String line = "{\"id\":\"" + task.id + "\",\"from\":\"s-" + number + "\",\"state\":\"" + state + '"' + more + "}\n";
+        send(task.connection, Unpooled.copiedBuffer(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n",
+            StandardCharsets.ISO_8859_1));
+    }
+
+    private void end(Task task) {
+        task.connection.task = null;
+        send(task.connection, Unpooled.copiedBuffer("0\r\n\r\n", StandardCharsets.ISO_8859_1));
+    }
+
+    private void send(Connection connection, ByteBuf message) {
+        traffic.out(Traffic.Purpose.ATTEMPTS, message.readableBytes());
+        connection.write(message);
+    }
+
+    /** A dispatcher's connection. */
+    private final class Connection extends StandInConnection {
+        private final int port;
+        private Task task;
+
+        Connection(int port) {
+            this.port = port;
+            connections.get(port).add(this);
+        }
+
+        @Override void request(Head head, long bytes) {
+            String id = head.get("X-Request-ID");
+            traffic.in(id == null ? Traffic.Purpose.PROBES : Traffic.Purpose.ATTEMPTS, bytes);
+            if (id == null) {
+                probed(this);
+            } else {
+                attempted(this, id);
+            }
+        }
+
+        /** What waits is dropped; what runs goes on, for nobody. */
+        @Override void gone() {
+            connections.get(port).remove(this);
+            if (task != null) {
+                task.gone = true;
+                waiting.remove(task);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/lab/java/badgermux/scale/RealClients.java
@@ -0,0 +1,119 @@
+package badgermux.scale;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** The clients of one real dispatcher: requests at a rate, and a look at its health every so often, which times its loop. */
+final class RealClients {
+    private static final long HEALTH_EVERY_MS = 250, SPARE_MS = 5_000, LONGEST_US = 60_000_000;
+    private static final String BODY = "x".repeat(200);
+
+    final AtomicLong asked = new AtomicLong(), served = new AtomicLong(), synthetic = new AtomicLong();
+    final AtomicLong failed = new AtomicLong(), lost = new AtomicLong(), resent = new AtomicLong();
+    final Histogram health = new ConcurrentHistogram(LONGEST_US, 3);
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(work -> {
+        Thread thread = new Thread(work, "clients");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Supplier<RealDispatcher> to;
+    private final RequestIds ids;
+    private final ZigguratSampler.Exponential gaps;
+    private final double rate;
+    private final long giveUpMs;
+    private volatile boolean quiet;
+
+    RealClients(Supplier<RealDispatcher> to, int number, double rate, long giveUpMs, long seed) {
+        this.to = to;
+        this.rate = rate;
+        this.giveUpMs = giveUpMs;
+        ids = new RequestIds(number, 0);
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 7_919 + number);
+        gaps = ZigguratSampler.Exponential.of(random);
+    }
+
+    void start() {
+        scheduleRequest();
+        timer.scheduleWithFixedDelay(this::lookAtHealth, HEALTH_EVERY_MS, HEALTH_EVERY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Asks nothing more from here on, or again. */
+    void quiet(boolean is) {
+        quiet = is;
+    }
+
+    long open() {
+        return asked.get() - served.get() - synthetic.get() - failed.get() - lost.get();
+    }
+
+    void close() {
+        timer.shutdownNow();
+    }
+
+    private void scheduleRequest() {
+        timer.schedule(this::request, (long) (gaps.sample() * 1e6 / rate), TimeUnit.MICROSECONDS);
+    }
+
+    private void request() {
+        scheduleRequest();
+        if (!quiet) {
+            asked.incrementAndGet();
+            send(ids.next(), true);
+        }
+    }
+
+    private void send(String id, boolean first) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + to.get().port() + "/" + Layout.CLASS))
+            .timeout(Duration.ofMillis(giveUpMs + SPARE_MS)).header("X-Request-ID", id).header("X-Timeout", giveUpMs + "m")
+            .POST(HttpRequest.BodyPublishers.ofString(BODY)).build();
+        client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+            .whenComplete((response, error) -> answered(id, first, response, error));
+    }
+
+    /** A close between requests may cross one: the platform's clients send it once more then. */
+    private void answered(String id, boolean first, HttpResponse<String> response, Throwable error) {
+        if (response != null) {
+            count(response.statusCode());
+        } else if (first && !(cause(error) instanceof HttpTimeoutException)) {
+            resent.incrementAndGet();
+            send(id, false);
+        } else {
+            lost.incrementAndGet();
+        }
+    }
+
+    private static Throwable cause(Throwable error) {
+        return error instanceof CompletionException ? error.getCause() : error;
+    }
+
+    private void count(int status) {
+        (status == 200 ? served : status == 503 || status == 429 ? synthetic : failed).incrementAndGet();
+    }
+
+    private void lookAtHealth() {
+        if (quiet) {
+            return;
+        }
+        long from = System.nanoTime();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + to.get().port() + "/healthz"))
+            .timeout(Duration.ofMillis(SPARE_MS)).build();
+        client.sendAsync(request, HttpResponse.BodyHandlers.discarding()).thenAccept(response ->
+            health.recordValue(Math.min(LONGEST_US, (System.nanoTime() - from) / 1_000)));
+    }
+}
--- /dev/null
+++ b/src/lab/java/badgermux/scale/StandInConnection.java
@@ -0,0 +1,80 @@
+package badgermux.scale;
+
+import badgermux.http.BadMessage;
+import badgermux.http.Head;
+import badgermux.http.MessageReader;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+
+/** A connection that a stand-in accepted: it tells of whole requests, and with how many bytes each came. */
+abstract class StandInConnection extends ChannelInboundHandlerAdapter implements MessageReader.Sink {
+    private static final int NO_LINGER = 0;
+
+    private final MessageReader reader = new MessageReader(false, MessageReader.MAX_BODY, this);
+    private Channel channel;
+    private Head head;
+    private long bytes;
+
+    /** A request is whole; called on the connection's event loop. */
+    abstract void request(Head head, long bytes);
+
+    /** The connection has ended. */
+    abstract void gone();
+
+    /** Sends bytes; the connection may have ended. */
+    final ChannelFuture write(ByteBuf message) {
+        return channel.writeAndFlush(message);
+    }
+
+    final void reset() {
+        channel.config().setOption(ChannelOption.SO_LINGER, NO_LINGER);
+        channel.close();
+    }
+
+    /** Stops reading: who is at the other end hears nothing more, and its connection stays open. */
+    final void silence() {
+        channel.config().setAutoRead(false);
+    }
+
+    @Override public final void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    @Override public final void channelRead(ChannelHandlerContext ctx, Object message) {
+        ByteBuf in = (ByteBuf) message;
+        try {
+            while (in.isReadable()) {
+                int before = in.readableBytes();
+                boolean whole = reader.read(in);
+                bytes += before - in.readableBytes();
+                if (whole) {
+                    long size = bytes;
+                    bytes = 0;
+                    request(head, size);
+                }
+            }
+        } catch (BadMessage e) {
+            reset();
+        } finally {
+            in.release();
+        }
+    }
+
+    @Override public final void head(Head next) {
+        head = next;
+    }
+
+    @Override public final void body(byte[] part) { }
+
+    @Override public final void channelInactive(ChannelHandlerContext ctx) {
+        gone();
+    }
+
+    @Override public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();    // the other end has reset it
+    }
+}
--- /dev/null
+++ b/src/lab/java/badgermux/scale/Steps.java
@@ -0,0 +1,52 @@
+package badgermux.scale;
+
+import java.io.Closeable;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The one thread on which a run's script goes on, step by step; a step that fails is counted, for the verdict. */
+final class Steps implements Closeable {
+    /** What is done at a time. */
+    interface Step {
+        void run() throws InterruptedException;
+    }
+
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+    private final AtomicInteger pending = new AtomicInteger(), failed = new AtomicInteger();
+
+    /** Does it after a time; the run does not end before it is done. */
+    void after(long micros, Step step) {
+        pending.incrementAndGet();
+        thread.schedule(() -> {
+            try {
+                step.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();     // the run is over
+            } catch (RuntimeException e) {
+                failed.incrementAndGet();
+                e.printStackTrace();
+            } finally {
+                pending.decrementAndGet();
+            }
+        }, micros, TimeUnit.MICROSECONDS);
+    }
+
+    void afterMs(long millis, Step step) {
+        after(TimeUnit.MILLISECONDS.toMicros(millis), step);
+    }
+
+    /** Whether nothing is left to be done. */
+    boolean isSettled() {
+        return pending.get() == 0;
+    }
+
+    int failed() {
+        return failed.get();
+    }
+
+    @Override public void close() {
+        thread.shutdownNow();
+    }
+}
