Scale runs: scenario names as on the issue, results without samples, connections by descriptors

Need: enum names were taken with underscores only, and a result of 90 s was mostly samples, which are for the plot. At 9,700 tasks running, 123 dispatchers need more than 97 connections each; how many there are follows from the descriptors left.

--- a/src/lab/java/badgermux/scale/ScaleCommand.java
+++ b/src/lab/java/badgermux/scale/ScaleCommand.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine;
@@ -31,7 +32,8 @@
 
     public static void main(String[] args) {
         CommandLine line = new CommandLine(new ScaleCommand(String.join(" ", args)));
-        line.setCaseInsensitiveEnumValuesAllowed(true);
+        line.registerConverter(ScaleOptions.Scenario.class,
+            name -> ScaleOptions.Scenario.valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_')));
         int status = line.execute(args);
         System.exit(status);
     }
--- a/src/lab/java/badgermux/scale/ScaleOptions.java
+++ b/src/lab/java/badgermux/scale/ScaleOptions.java
@@ -39,7 +39,7 @@
     int listDelayMs;
     @Option(names = "--list-drop", description = "share of discovery's answers that are a reset instead (${DEFAULT-VALUE})")
     double listDrop;
-    @Option(names = "--scenario", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
+    @Option(names = "--scenario", description = "ladder-workers, ladder-dispatchers, peak, churn, rack, zone, region, restart, anew (${DEFAULT-VALUE})")
     Scenario scenario = Scenario.CHURN;
     @Option(names = "--seed", description = "of all random numbers (${DEFAULT-VALUE})")
     long seed = 1;
--- a/src/lab/java/badgermux/scale/ScaleResult.java
+++ b/src/lab/java/badgermux/scale/ScaleResult.java
@@ -1,6 +1,8 @@
 package badgermux.scale;
 
 import badgermux.metrics.Metrics.Count;
+import com.google.gson.ExclusionStrategy;
+import com.google.gson.FieldAttributes;
 import com.google.gson.GsonBuilder;
 import java.util.List;
 import java.util.Map;
@@ -36,7 +38,16 @@
     /** One second: bytes to and from each dispatcher, and how many had the newest list. */
     record Sample(double second, double lists, double probes, double attempts, int upToDate) { }
 
+    /** All but the samples, which are for the plot. */
     String json() {
-        return new GsonBuilder().setPrettyPrinting().create().toJson(this);
+        return new GsonBuilder().setPrettyPrinting().setExclusionStrategies(new ExclusionStrategy() {
+            @Override public boolean shouldSkipField(FieldAttributes field) {
+                return field.getName().equals("samples");
+            }
+
+            @Override public boolean shouldSkipClass(Class<?> type) {
+                return false;
+            }
+        }).create().toJson(this);
     }
 }
--- a/src/lab/java/badgermux/scale/ScaleRun.java
+++ b/src/lab/java/badgermux/scale/ScaleRun.java
@@ -25,7 +25,9 @@
 
 /** One scale run, from the start of all parts to the result. Closing it ends all that it started. */
 public final class ScaleRun implements Closeable {
-    private static final int WORKER_LOOPS = 2, MOST_PROCESSES = 200, ALL_CONNECTIONS = 12_000, FEWEST_CONNECTIONS = 24;
+    private static final int WORKER_LOOPS = 2, MOST_PROCESSES = 200, FEWEST_CONNECTIONS = 24;
+    /** Descriptors of this process, which has the workers' ends of all connections and their listeners. */
+    private static final int DESCRIPTORS = 18_500;
     private static final int MOST_CONNECTIONS = 600, REAL_MB = 192, OWN_MB = 2_048, BASE_MB = 96, MOST_HEAP_MB = 2_048;
     private static final double MB_A_WORKER_AND_DISPATCHER = 0.002;
     private static final long START_MS = 180_000, CONVERGE_MS = 60_000, LOOK_MS = 100, SECOND_MS = 1_000, MB = 1 << 20;
@@ -147,7 +149,8 @@
     }
 
     private int connectionsOfEach() {
-        return Math.max(FEWEST_CONNECTIONS, Math.min(MOST_CONNECTIONS, ALL_CONNECTIONS / options.allDispatchers()));
+        int all = DESCRIPTORS - options.workers * layout.portsOfWorker();
+        return Math.max(FEWEST_CONNECTIONS, Math.min(MOST_CONNECTIONS, all / options.allDispatchers()));
     }
 
     private boolean allUpToDate() {
