--- a/src/lab/java/badgermux/scale/HollowProcess.java
+++ b/src/lab/java/badgermux/scale/HollowProcess.java
@@ -63,6 +63,7 @@
     private final ZigguratSampler.Exponential gaps;
     private Future<?> nextRequest;
     private long tickDue;
+    private long requestDue;
 
     private HollowProcess(Plan plan) throws ConfigException {
         this.plan = plan;
@@ -94,7 +95,7 @@
 
     private String obey(Order order) throws Exception {
         switch (order) {
-            case GO -> loop.submit(this::scheduleRequest).get();
+            case GO -> loop.submit(this::go).get();
             case MARK -> loop.submit(this::reset).get();
             case QUIET -> loop.submit(() -> nextRequest.cancel(false)).get();
             default -> {
@@ -119,9 +120,15 @@
         loop.schedule(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void go() {
+        requestDue = System.nanoTime();
+        scheduleRequest();
+    }
+
+    /** Guards against a stall that requests are spared: they come when they are due, however late the last one was. */
     private void scheduleRequest() {
-        long micros = (long) (gaps.sample() * 1e6 / plan.rate);
-        nextRequest = loop.schedule(this::request, micros, TimeUnit.MICROSECONDS);
+        requestDue += (long) (gaps.sample() * 1e9 / plan.rate);
+        nextRequest = loop.schedule(this::request, Math.max(0, requestDue - System.nanoTime()), TimeUnit.NANOSECONDS);
     }
 
     private void request() {
--- a/src/lab/java/badgermux/scale/RealClients.java
+++ b/src/lab/java/badgermux/scale/RealClients.java
@@ -38,6 +38,7 @@
     private final double rate;
     private final long giveUpMs;
     private volatile boolean quiet;
+    private long requestDue;
 
     RealClients(Supplier<RealDispatcher> to, int number, double rate, long giveUpMs, long seed) {
         this.to = to;
@@ -49,6 +50,7 @@
     }
 
     void start() {
+        requestDue = System.nanoTime();
         scheduleRequest();
         timer.scheduleWithFixedDelay(this::lookAtHealth, HEALTH_EVERY_MS, HEALTH_EVERY_MS, TimeUnit.MILLISECONDS);
     }
@@ -67,7 +69,8 @@
     }
 
     private void scheduleRequest() {
-        timer.schedule(this::request, (long) (gaps.sample() * 1e6 / rate), TimeUnit.MICROSECONDS);
+        requestDue += (long) (gaps.sample() * 1e9 / rate);
+        timer.schedule(this::request, Math.max(0, requestDue - System.nanoTime()), TimeUnit.NANOSECONDS);
     }
 
     private void request() {
