--- a/src/lab/java/badgermux/scale/Script.java
+++ b/src/lab/java/badgermux/scale/Script.java
@@ -62,7 +62,7 @@
 
     private void scheduleChurn() {
         double gapMs = DAY_MS / (options.churn * (options.failsADay + options.restartsADay));
-        steps.after((long) (gaps.sample() * gapMs * 1e3), this::churn);
+        steps.unawaited((long) (gaps.sample() * gapMs * 1e3), this::churn);
     }
 
     private void churn() throws InterruptedException {
--- a/src/lab/java/badgermux/scale/Steps.java
+++ b/src/lab/java/badgermux/scale/Steps.java
@@ -19,6 +19,17 @@
     /** Does it after a time; the run does not end before it is done. */
     void after(long micros, Step step) {
         pending.incrementAndGet();
+        unawaited(micros, () -> {
+            try {
+                step.run();
+            } finally {
+                pending.decrementAndGet();
+            }
+        });
+    }
+
+    /** Does it after a time, unless the run is over by then. */
+    void unawaited(long micros, Step step) {
         thread.schedule(() -> {
             try {
                 step.run();
@@ -27,8 +38,6 @@
             } catch (RuntimeException e) {
                 failed.incrementAndGet();
                 e.printStackTrace();
-            } finally {
-                pending.decrementAndGet();
             }
         }, micros, TimeUnit.MICROSECONDS);
     }
