--- a/src/lab/java/badgermux/scale/HollowDispatcher.java
+++ b/src/lab/java/badgermux/scale/HollowDispatcher.java
@@ -77,7 +77,7 @@
         String id = ids.next();
         answers.asked++;
         Relay relay = new Relay(id, "POST /" + Layout.CLASS + " HTTP/1.1", "X-Request-ID: " + id + "\r\n", BODY, null);
-        engine.take(new OneAnswer(), relay, 0, tenant, 1, clock.now() + giveUpMicros);
+        engine.take(new OneAnswer(), relay, 0, tenant, 1, clock.now() + giveUpMicros, true);
     }
 
     private void alarm(long at) {
