--- a/src/bench/java/badgermux/capacity/MeasureModule.java
+++ b/src/bench/java/badgermux/capacity/MeasureModule.java
@@ -198,7 +198,7 @@
             for (int i = 0; i < open; i++) {
                 String id = String.format("%016x", i);
                 Relay relay = new Relay(id, "POST /preview/a HTTP/1.1", "X-Request-ID: " + id + "\r\n", new byte[64], null);
-                engine.take(this, relay, 0, 0, 1, now + PATIENCE);
+                engine.take(this, relay, 0, 0, 1, now + PATIENCE, true);
             }
             if (engine.open() < open) {
                 throw new IllegalStateException("only " + engine.open() + " of " + open + " requests are open");
