Keep idle connections open for one more request at a hot restart

Cause: Frontend.handOver closed all idle connections in the turn in which the next process said SERVING, while a drain leaves them open for another request. SIGTERM behind a handover closed them at once, too.

Why the change works: a request on such a connection is answered with Connection: close; what is idle 0.5 s later is closed, also where SIGTERM comes meanwhile.

Tests: the two new ones of EventOrderIT failed on the old code ("no request received in time"). requestCrossingCloseOfIdleConnection... used the handover as its way to close an idle connection; it uses the end of the drain's grace now, with the same assertions and one more.

--- a/src/main/java/badgermux/front/Frontend.java
+++ b/src/main/java/badgermux/front/Frontend.java
@@ -36,10 +36,10 @@
     /** How long after SIGTERM new connections are still served: the load balancer goes on sending them for a while. */
     static final long ACCEPT_AFTER_SIGTERM_MICROS = 700_000;
     /**
-     * How long after SIGTERM idle connections stay open. Each takes one more request, as the next process may not be
-     * running yet.
+     * How long idle connections stay open after SIGTERM or a handover. Each takes one more request, whose answer tells the
+     * client to reconnect; closed at once, they would cut off clients that are sending just then.
      */
-    static final long KEEP_ALIVE_AFTER_SIGTERM_MICROS = 500_000;
+    static final long KEEP_ALIVE_BEFORE_CLOSE_MICROS = 500_000;
     /**
      * SIGKILL follows SIGTERM after the longest deadline of all request classes, or after this span if the deadline is
      * longer, plus {@link #ACCEPT_AFTER_SIGTERM_MICROS}.
@@ -106,6 +106,10 @@
     /** Whether other processes hold the listening socket, too. */
     private boolean isListenerShared;
     private boolean isHandedOver;
+    /** Closes the connections that are still idle some time after a handover; null if there was none. */
+    private Deadlines.Deadline idleCloseTimer;
+    /** When {@link #idleCloseTimer} is due. */
+    private long idleCloseAtMicros;
     private boolean isDraining;
     private long drainStartMicros;
     private FinalAnswerScheduler finalAnswers;
@@ -205,14 +209,15 @@
     }
 
     /**
-     * Leaves the listening socket to another process: stops accepting, closes idle connections, and closes the others after
-     * their next answer. Clients then connect to the other process.
+     * Leaves the listening socket to another process: stops accepting and closes each connection after its next answer, or
+     * once it has been idle for {@link #KEEP_ALIVE_BEFORE_CLOSE_MICROS}. Clients then connect to the other process.
      */
     public void handOver() {
         if (!isHandedOver && !isDraining) {
             isHandedOver = true;
             stopAccepting();
-            closeIdleConnections();
+            idleCloseAtMicros = nowMicros() + KEEP_ALIVE_BEFORE_CLOSE_MICROS;
+            idleCloseTimer = deadlines.scheduleAt(idleCloseAtMicros, this::closeIdleConnections);
         }
     }
 
@@ -220,6 +225,7 @@
     public void cancelHandover() {
         if (isHandedOver && !isDraining) {
             isHandedOver = false;
+            deadlines.cancel(idleCloseTimer);
             listener.config().setAutoRead(true);
         }
     }
@@ -250,10 +256,10 @@
             stopAccepting();
         }
         if (isHandedOver) {
-            finishDrainWhenIdle(onDrained);
+            deadlines.scheduleAt(idleCloseAtMicros, () -> finishDrainWhenIdle(onDrained));
             return;
         }
-        deadlines.scheduleAt(startMicros + KEEP_ALIVE_AFTER_SIGTERM_MICROS, this::closeIdleConnections);
+        deadlines.scheduleAt(startMicros + KEEP_ALIVE_BEFORE_CLOSE_MICROS, this::closeIdleConnections);
         deadlines.scheduleAt(startMicros + ACCEPT_AFTER_SIGTERM_MICROS, () -> finishDrainWhenIdle(onDrained));
     }
 
--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -93,6 +93,8 @@
     private boolean isProcessing;
     private boolean keepAlive = true;
     private boolean isClosing;
+    /** Whether this side is closing the connection between two requests, and nothing has arrived since. */
+    private boolean mayCrossRequest;
     private boolean isClosed;
 
     FrontendConnection(Frontend frontend, SocketChannel channel) {
@@ -138,6 +140,10 @@
         ByteBuf in = (ByteBuf) message;
         if (isClosing) {
             // Reads and discards the input: closing with unread input resets the connection and loses the response on its way.
+            if (mayCrossRequest) {
+                mayCrossRequest = false;
+                frontend.metrics().increment(Count.CLIENT_CLOSES_CROSSED);
+            }
             lingerBytes += in.readableBytes();
             in.release();
             if (lingerBytes > MAX_LINGER_BYTES) {
@@ -553,6 +559,7 @@
     void close() {
         if (!isClosed && !isClosing) {
             keepAlive = false;
+            mayCrossRequest = hasSentRequest && !isAwaitingAnswer;
             // Waits for the last write, as shutting down the output discards what has not been sent.
             lingeringClose(lastWrite);
         }
--- a/src/test/java/badgermux/it/EventOrderIT.java
+++ b/src/test/java/badgermux/it/EventOrderIT.java
@@ -26,6 +26,9 @@
  */
 @Timeout(60)
 class EventOrderIT {
+    /** How long after SIGTERM idle connections are closed. */
+    private static final long IDLE_CLOSE_DELAY_MICROS = 500_000;
+
     private InProcessDispatcher dispatcher;
     private FakeServer backend;
     private Client client;
@@ -76,12 +79,49 @@
         assertEquals(503, client.read().status());
         dispatcher.runOnEventLoop(() -> {
             client.send(Client.request("/preview", "5000m", "", ""));
-            dispatcher.frontend.handOver();
+            dispatcher.frontend.drain(dispatcher.nowMicros() - IDLE_CLOSE_DELAY_MICROS, () -> { });
+            dispatcher.deadlines.runDue();
         });
         assertEquals(1, dispatcher.clientConnections(), "the connection stays open until its input is read");
         assertTrue(client.isClosedByServer(), "closed with FIN, not reset");
         assertFalse(dispatcher.hasRequest(), "input after the close is not taken as a request");
         assertEquals(1, dispatcher.metrics.get(Count.REQS_TAKEN));
+        assertEquals(1, dispatcher.counterValue(Count.CLIENT_CLOSES_CROSSED));
+    }
+
+    /** A handover that closes idle connections at once cuts off clients that are sending their next request just then. */
+    @Test void requestOnIdleConnectionIsAnsweredAfterHandover() throws Exception {
+        client.send(Client.request("/preview", "5000m", "", ""));
+        long firstId = dispatcher.awaitRequest();
+        dispatcher.runOnEventLoop(() -> dispatcher.engine.refuse(firstId, 0));
+        assertEquals(503, client.read().status());
+        dispatcher.runOnEventLoop(dispatcher.frontend::handOver);
+        client.send(Client.request("/preview", "5000m", "", ""));
+        assertAnsweredWithClose();
+    }
+
+    /** SIGTERM right behind a handover must not cut the idle connections off either. */
+    @Test void requestOnIdleConnectionIsAnsweredAfterHandoverAndSigterm() throws Exception {
+        client.send(Client.request("/preview", "5000m", "", ""));
+        long firstId = dispatcher.awaitRequest();
+        dispatcher.runOnEventLoop(() -> dispatcher.engine.refuse(firstId, 0));
+        assertEquals(503, client.read().status());
+        dispatcher.runOnEventLoop(() -> {
+            dispatcher.frontend.handOver();
+            dispatcher.frontend.drain(dispatcher.nowMicros(), () -> { });
+            dispatcher.deadlines.runDue();
+        });
+        client.send(Client.request("/preview", "5000m", "", ""));
+        assertAnsweredWithClose();
+    }
+
+    private void assertAnsweredWithClose() throws Exception {
+        long requestId = dispatcher.awaitRequest();
+        dispatcher.runOnEventLoop(() -> dispatcher.engine.refuse(requestId, 0));
+        Client.Response response = client.read();
+        assertEquals(503, response.status());
+        assertEquals("close", response.header("Connection"));
+        assertTrue(client.isClosedByServer(), "closed with FIN, not reset");
     }
 
     /**
