Scale run: do not list a draining backend as serving when a cut heals

No caller was affected.

Cause: HollowBackends.publishCut made a cut backend available to churn 1 to 3 s before it listed its return. Churn drained backend 3 in between, and the return listed it as SERVING while it drained; dispatchers rightly sent to it.

Another hypothesis, attempts that wait unread at a cut backend, was refuted: read within 3 ms.

Change: a cut backend stays unavailable until it is listed again; a change from draining to serving is rejected, which fails the run.

--- a/src/lab/java/badgermux/scale/BackendEntry.java
+++ b/src/lab/java/badgermux/scale/BackendEntry.java
@@ -6,6 +6,14 @@
         return phase.equals("DELETED");
     }
 
+    boolean isDraining() {
+        return phase.equals("DRAINING");
+    }
+
+    boolean isServing() {
+        return phase.equals("SERVING");
+    }
+
     /** Returns a copy in another phase. */
     BackendEntry withPhase(String newPhase) {
         return new BackendEntry(id, ports, zone, newPhase, upSinceMs);
--- a/src/lab/java/badgermux/scale/FaultInjector.java
+++ b/src/lab/java/badgermux/scale/FaultInjector.java
@@ -94,8 +94,10 @@
             discoveryLoop.execute(() -> IntStream.range(0, options.allDispatchers()).filter(this::isCutDispatcher)
                 .forEach(d -> discovery.setSilent(d, cutOff)));
         }
-        backends.publishCut(cutBackends, cutOff);
-        if (!cutOff) {
+        if (cutOff) {
+            backends.publishCut(cutBackends);
+        } else {
+            backends.publishHealed(cutBackends);
             healedAtNanos = System.nanoTime();
         }
     }
--- a/src/lab/java/badgermux/scale/HollowBackends.java
+++ b/src/lab/java/badgermux/scale/HollowBackends.java
@@ -33,6 +33,8 @@
     private final BackendEntry[] entries;
     /** Whether a backend is failing, restarting or cut off. */
     private final boolean[] isBusy;
+    /** Whether a backend is listed as gone, or about to be, because it is cut off. */
+    private final boolean[] isListedAsCut;
 
     HollowBackends(ScaleOptions options, FleetLayout layout, EventLoopGroup loops, EventLoop discoveryLoop,
             DiscoveryServer discovery, StepScheduler steps, TrafficCounter traffic, SendRules rules) {
@@ -43,6 +45,7 @@
         maxDrainMs = options.giveUpMs();
         entries = new BackendEntry[options.workers];
         isBusy = new boolean[options.workers];
+        isListedAsCut = new boolean[options.workers];
         for (int index = 0; index < options.workers; index++) {
             backends.add(new HollowBackend(index, loops.next(), layout.portsPerBackend(), options.meanRunMs(), traffic, rules));
         }
@@ -62,8 +65,16 @@
             FleetLayout.zoneName(layout.zoneOfBackend(index)), "SERVING", cold ? System.currentTimeMillis() : 0));
     }
 
-    /** Publishes an entry, and returns the number of the change. */
+    /**
+     * Publishes an entry, and returns the number of the change.
+     *
+     * @throws IllegalStateException if a draining backend were to be listed as serving again: dispatchers would rightly send to
+     *                               it, and each of these sends would count as one after its drain
+     */
     private long publish(int index, BackendEntry entry) throws InterruptedException {
+        if (entries[index] != null && entries[index].isDraining() && entry.isServing()) {
+            throw new IllegalStateException("backend " + index + " drains and can't be listed as serving");
+        }
         entries[index] = entry;
         try {
             return discoveryLoop.submit(() -> discovery.publish(index, entry)).get();
@@ -124,16 +135,33 @@
         }
     }
 
-    /** Publishes that backends are cut off, or that they are back, one after the other. */
-    void publishCut(int[] indexes, boolean cutOff) {
+    /** Publishes that backends are cut off, one after the other. Those that are failing or restarting have their own steps. */
+    void publishCut(int[] indexes) {
         for (int i = 0; i < indexes.length; i++) {
             int index = indexes[i];
-            if (cutOff && isBusy[index]) {
-                continue;
+            if (!isBusy[index]) {
+                isBusy[index] = true;
+                isListedAsCut[index] = true;
+                steps.scheduleMs(detectionDelayMs(i, indexes.length), () -> publish(index, entries[index].withPhase("DELETED")));
             }
-            isBusy[index] = cutOff;
-            steps.scheduleMs(DETECTION_DELAY_MS + DETECTION_SPREAD_MS * i / indexes.length,
-                () -> publish(index, entries[index].withPhase(cutOff ? "DELETED" : "SERVING")));
         }
     }
+
+    /** Publishes that the backends of {@link #publishCut} are back. Each is available for other faults only from then on. */
+    void publishHealed(int[] indexes) {
+        for (int i = 0; i < indexes.length; i++) {
+            int index = indexes[i];
+            if (isListedAsCut[index]) {
+                isListedAsCut[index] = false;
+                steps.scheduleMs(detectionDelayMs(i, indexes.length), () -> {
+                    publish(index, entries[index].withPhase("SERVING"));
+                    isBusy[index] = false;
+                });
+            }
+        }
+    }
+
+    private static long detectionDelayMs(int position, int count) {
+        return DETECTION_DELAY_MS + DETECTION_SPREAD_MS * position / count;
+    }
 }
