HotRestartIT: connect only once the hanging process is really stopped

previousProcessResumesWhenNextDiesOrHangs timed out now and then beside load. Cause: kill -STOP returns before all threads are stopped, and the next process accepted the test's connection meanwhile; nobody else can answer it.

The test asked for more than can be had, so it waits for the stop of every thread, and asks the same from then on.

--- a/src/test/java/badgermux/it/HotRestartIT.java
+++ b/src/test/java/badgermux/it/HotRestartIT.java
@@ -188,7 +188,11 @@
         for (String signal : List.of("KILL", "STOP")) {
             Supervisor.Instance next = supervisor.start();
             next.awaitReady();
-            next.signal(signal);
+            if (signal.equals("STOP")) {
+                next.hang();
+            } else {
+                next.signal(signal);
+            }
             try (Client client = supervisor.client()) {
                 assertEquals(200, client.post("/preview").status(), signal);
             }
--- a/src/test/java/badgermux/it/Supervisor.java
+++ b/src/test/java/badgermux/it/Supervisor.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * Stands in for the process supervisor of a hot restart: a helper process holds the clients' listening socket, and each
@@ -76,6 +77,29 @@
             new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
         }
 
+        /**
+         * Stops the process by SIGSTOP, as if it hung, and waits until none of its threads runs. Until then it could still accept
+         * a connection, which no other process can answer.
+         */
+        void hang() throws IOException, InterruptedException {
+            signal("STOP");
+            Await.until("all threads stopped", () -> {
+                try (Stream<Path> threads = Files.list(Path.of("/proc", String.valueOf(process.pid()), "task"))) {
+                    return threads.allMatch(Instance::isStopped);
+                }
+            });
+        }
+
+        /** Whether a thread's state, behind its name in parentheses, is T. A thread that has ended does not run either. */
+        private static boolean isStopped(Path thread) {
+            try {
+                String status = Files.readString(thread.resolve("stat"));
+                return status.startsWith(" T ", status.lastIndexOf(')') + 1);
+            } catch (IOException e) {
+                return true;
+            }
+        }
+
         /** Waits until the process has exited. */
         void awaitExit() {
             Await.until("exit", () -> !process.isAlive());
