Hold requests until discovery confirms the list of the start

Change: InitialListCheck. Until discovery has answered a call, requests are held and /healthz says 503. The list is used without an answer after two calls that fail within 0.5 s (discovery is down) or 4 s after the start. The first call asks for an answer at once.

--- a/src/main/java/badgermux/DispatcherProcess.java
+++ b/src/main/java/badgermux/DispatcherProcess.java
@@ -172,7 +172,7 @@
         discovery = new DiscoveryClient(loop, deadlines, clock, metrics, engine, backends, config.discoveryAddress(),
             cachedList, config.zoneNames(), config.kindNames(), zones == null ? null : zones::keepUnlistedBackends,
             console == null ? null : console.cordons(), settings.listPushed);
-        frontend = new Frontend(clock::nowMicros, deadlines, metrics, engine, settings, discovery::hasList,
+        frontend = new Frontend(clock::nowMicros, deadlines, metrics, engine, settings, discovery::hasUsableList,
             budget.clientConnections(), budget.excessClientConnections(),
             ((long) config.memoryMb() << 20) / BODY_MEMORY_DIVISOR,
             adminService == null ? null : adminService.requestValidator(metrics));
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -264,6 +264,11 @@
         return policy.isAvoided(backendId);
     }
 
+    /** Whether the policy may use the backend list; it holds all requests until then. */
+    public boolean hasUsableList() {
+        return policy.hasUsableList(clock.getAsLong());
+    }
+
     // ---- Events from discovery
 
     /** The backend list was updated, or a call to discovery failed. */
--- a/src/main/java/badgermux/decide/DefaultDispatchPolicy.java
+++ b/src/main/java/badgermux/decide/DefaultDispatchPolicy.java
@@ -57,10 +57,6 @@
     private static final long ROUND_MICROS = 100_000;
     /** First ejection of a backend after a failure; doubled by further failures, up to 16 times this. */
     private static final long FIRST_EJECTION_MICROS = 500_000;
-    /** Burst that a tenant may save up, in seconds of its quota. */
-    private static final double QUOTA_BURST_SECONDS = 2;
-    /** Burst that a tenant may save up whatever its quota, in requests. */
-    private static final double QUOTA_BURST_REQUESTS = 10;
     /** All dispatchers together may send a cold backend this share of the work that would overload it. */
     private static final double COLD_BUDGET_MARGIN = 0.5;
     /** Ratio of an even share of the cold budget to the smallest share that is given out. */
@@ -194,6 +190,7 @@
     /** Requests that wait here for a backend, in the order in which they are tried. */
     private final List<OpenRequest> heldRequests = new ArrayList<>();
     private final ColdSendLedger sentWork = new ColdSendLedger();
+    private final InitialListCheck initialList;
     /** Groups by class index * number of tiers + tier; empty when they have to be built anew. */
     private final List<List<List<BackendStatus>>> groupsByClassAndTier = new ArrayList<>();
     /** Number of ready backends of each kind. */
@@ -212,8 +209,7 @@
     private final double[] runPerWorkByClass;
     /** Longest time until its deadline with which a request of each class came: that of a first try. */
     private final double[] maxRemainingByClass;
-    /** Requests that each tenant may send within its quota now. */
-    private final double[] creditByTenant;
+    private final TenantQuotas tenantQuotas;
     /** Slots of all attempts without an outcome. */
     private double outstandingSlots;
     /** The part of {@link #outstandingSlots} that has started. */
@@ -226,6 +222,8 @@
     private double meanRunMicros;
     /** Estimated share of the traffic of all dispatchers that comes to this one. */
     private double trafficShare;
+    /** Whether requests have been held because the backend list may not be used yet. */
+    private boolean awaitsUsableList;
     /** Time of the current event. */
     private long now;
     /** When the first list came; earlier where the sends of the previous process are known; -1 before. */
@@ -259,6 +257,7 @@
         this.zoneLimits = Objects.requireNonNullElse(zoneLimits, new ZoneLimits() { });
         settings = dispatchSettings.validated();
         this.actions = Objects.requireNonNull(actions, "actions");
+        initialList = new InitialListCheck(actions::log);
         random = new SplittableRandom(seed);
         staleTieSlots = Math.max(MIN_TIE_SLOTS, MAX_TIE_SLOTS * (1 - 4.0 / settings.dispatcherCount));
         trustedIdleMicros = settings.idleTimeoutMicros;
@@ -275,9 +274,7 @@
         runPerWorkByClass = new double[settings.classes.size()];
         maxRemainingByClass = new double[settings.classes.size()];
         runCountByClass = new double[settings.classes.size()];
-        creditByTenant = new double[settings.tenants.size()];
-        // Half the burst, less the credit that the first second brings.
-        Arrays.setAll(creditByTenant, t -> Math.max(0, QUOTA_BURST_REQUESTS / 2 - ownQuotaPerSecond(t)));
+        tenantQuotas = new TenantQuotas(settings.tenants, trafficShare);
     }
 
     // ---- Events
@@ -289,17 +286,39 @@
             runRound();
             if (!settings.listPushed) actions.watchBackendList();
         }
+        if (update == ListUpdate.CACHED) initialList.cachedListReceived(now);
+        else if (update == ListUpdate.FAILED) initialList.callFailed(now);
+        else initialList.listReceived();
         watchPauseMicros = update == ListUpdate.FAILED
             ? WatchTiming.nextRetryPauseMicros(watchPauseMicros, settings.maxWatchIntervalMicros)
             : FIRST_EJECTION_MICROS / 2;
         if (update != ListUpdate.FAILED) applyList(update, list);
         // A failed watch is repeated after a pause with jitter, which grows until a list comes.
         else if (!settings.listPushed) schedule((long) (watchPauseMicros * (0.5 + random.nextDouble())),
-            actions::watchBackendList);
+            this::watchBackendList);
         zoneLimits.backendsListed(now, update, list);
+        placeRequestsAwaitingList();
         sendHeldRequests();
     }
 
+    private void watchBackendList() {
+        initialList.callStarted(now);
+        actions.watchBackendList();
+    }
+
+    /** Starts to place the requests that were held while the list could not be used. */
+    private void placeRequestsAwaitingList() {
+        if (!awaitsUsableList || !hasUsableList(now)) return;
+        awaitsUsableList = false;
+        List<OpenRequest> waiting = List.copyOf(heldRequests);
+        heldRequests.clear();
+        waiting.stream().filter(request -> !request.finished).forEach(this::startPlacement);
+    }
+
+    @Override public boolean hasUsableList(long time) {
+        return initialList.isUsable(time);
+    }
+
     @Override public void requestReceived(long time, Request received) {
         now = time;
         OpenRequest request = new OpenRequest();
@@ -320,7 +339,8 @@
         request.clientRetry = received.remainingMicros()
             < maxRemainingByClass[received.classIndex()] - settings.timerGranularityMicros;
         arrivedWork += request.clientRetry ? 0 : received.slots() * expectedRunMicros(request);
-        request.overQuota = exceedsQuota(received.tenantIndex(), !request.clientRetry);
+        request.overQuota =
+            tenantQuotas.isExceeded(received.tenantIndex(), !request.clientRetry, trafficShare);
         openRequests.put(received.id(), request);
         startPlacement(request);
     }
@@ -458,9 +478,8 @@
         trustedIdleMicros =
             Math.min(settings.idleTimeoutMicros, trustedIdleMicros + trustedIdleMicros / 100 + 1);
         heldRequests.removeIf(this::finishIfHopeless);
-        Arrays.setAll(creditByTenant, t -> Math.min(
-            creditByTenant[t] + ownQuotaPerSecond(t) * ROUND_MICROS / 1e6,
-            Math.max(QUOTA_BURST_REQUESTS, ownQuotaPerSecond(t) * QUOTA_BURST_SECONDS)));
+        placeRequestsAwaitingList();
+        tenantQuotas.addCredit(ROUND_MICROS, trafficShare);
         heldRequests.sort((a, b) -> worthRate(a) != worthRate(b) ? Double.compare(worthRate(b), worthRate(a))
             : Long.compare(b.latestStart, a.latestStart));
         sendHeldRequests();
@@ -667,6 +686,11 @@
      * at once, or as soon as the reports of the drawn backends that are being probed have come.
      */
     private void startPlacement(OpenRequest request) {
+        if (!hasUsableList(now)) {
+            awaitsUsableList = true;
+            if (!finishIfHopeless(request)) heldRequests.add(request);
+            return;
+        }
         request.randomDraw = random.nextLong();
         request.awaitedReports = 1;
         while (request.tier + 1 < zoneLimits.tierCount() && !isTierOpen(request)) request.tier++;
@@ -718,6 +742,7 @@
      * if the zone limits say that it is not to be held, given its final answer.
      */
     private boolean trySend(OpenRequest request) {
+        if (!hasUsableList(now)) return false;
         boolean anyCandidate = false;
         // With several tiers, the first pass considers healthy backends only. Otherwise the suspect backends
         // of a lost zone would be tried one after another while the next tier is healthy.
@@ -1014,25 +1039,6 @@
             * Math.max(backlogRuns(), slotsAhead / Math.max(1, estimatedSlots(backend))));
     }
 
-    /**
-     * Whether a request exceeds its tenant's quota: the tenant has no credit left of this dispatcher's share
-     * of it. The first try of a request takes one from the credit, whatever becomes of the request.
-     * A quota of 0 is never exceeded. An unknown tenant always exceeds its quota, but where the settings name
-     * no tenants, index 0 never does.
-     */
-    private boolean exceedsQuota(int tenantIndex, boolean firstTry) {
-        if (tenantIndex >= creditByTenant.length || ownQuotaPerSecond(tenantIndex) <= 0)
-            return tenantIndex >= Math.max(1, creditByTenant.length);
-        if (creditByTenant[tenantIndex] < 1) return true;
-        if (firstTry) creditByTenant[tenantIndex]--;
-        return false;
-    }
-
-    /** Returns this dispatcher's share of a tenant's quota, in requests per second. */
-    private double ownQuotaPerSecond(int tenantIndex) {
-        return settings.tenants.get(tenantIndex).quotaPerSecond() * Math.min(1, trafficShare);
-    }
-
     // ---- Load reports and health
 
     /** Takes over a load report; ignored if it does not contain the free slots or an argument is null. */
--- a/src/main/java/badgermux/decide/DispatchPolicy.java
+++ b/src/main/java/badgermux/decide/DispatchPolicy.java
@@ -460,4 +460,9 @@
      * last probe unanswered.
      */
     boolean isAvoided(long backendId);
+
+    /** Whether the backend list may be used; requests are held until then. */
+    default boolean hasUsableList(long now) {
+        return true;
+    }
 }
--- a/src/main/java/badgermux/decide/WatchTiming.java
+++ b/src/main/java/badgermux/decide/WatchTiming.java
@@ -41,6 +41,12 @@
     public static final long AGENT_CONNECT_TIMEOUT_MICROS = 200_000;
     /** Pause after a failed call to such an agent: a watch may be interrupted for 200 ms at most. */
     public static final long AGENT_RETRY_PAUSE_MICROS = 100_000;
+    /** The wait that the first call of a process asks for, whose answer confirms the initial list. */
+    public static final long INITIAL_WAIT_MICROS = 1_000;
+    /** How long a process waits for the first answer before it uses its initial list without one. */
+    static final long INITIAL_LIST_TIMEOUT_MICROS = 4_000_000;
+    /** A call that fails within this time has not waited at a discovery service with many callers. */
+    static final long PROMPT_FAILURE_MICROS = 500_000;
     /** How long answers may be older than the current list; after that, discovery has started over. */
     public static final long MAX_STALE_REVISIONS_MICROS = 1_000_000;
     /** Limit of the growing pause after failed calls, before jitter; the sums above depend on it. */
--- a/src/main/java/badgermux/discovery/DiscoveryClient.java
+++ b/src/main/java/badgermux/discovery/DiscoveryClient.java
@@ -86,8 +86,10 @@
     private boolean hasList;
     /** Whether the last request failed; only the first of several failures is logged. */
     private boolean failing;
-    /** Whether no list was received since a request failed or timed out, or since the address changed. */
-    private boolean recovering;
+    /** Whether no list was received since the start, since a request failed or timed out, or since the address changed. */
+    private boolean recovering = true;
+    /** Whether no list was received since the start. */
+    private boolean starting = true;
     /** Whether the last request could not be sent because no file descriptor was available. */
     private boolean outOfDescriptors;
     /** Whether no list was received since the address changed: another service may number its revisions differently. */
@@ -135,9 +137,9 @@
         }
     }
 
-    /** Whether a backend list is known, from the cache or from discovery. */
-    public boolean hasList() {
-        return hasList;
+    /** Whether a backend list is known, from the cache or from discovery, and may be used. */
+    public boolean hasUsableList() {
+        return hasList && engine.hasUsableList();
     }
 
     /** Requests changes since the current revision, again and again until a request fails. */
@@ -263,6 +265,7 @@
         }
         failing = false;
         recovering = false;
+        starting = false;
         metrics.increment(Count.DIRECTOR_LISTS);
         revision = needsWholeList ? 0 : list.revision;
         hasList |= list.complete || !list.members.isEmpty();
@@ -427,7 +430,8 @@
         private int status;
 
         @Override public ByteBuf createRequest() {
-            long waitMicros = recovering ? WatchTiming.RECOVERY_WAIT_MICROS : WatchTiming.WATCH_WAIT_MICROS;
+            long waitMicros = starting ? WatchTiming.INITIAL_WAIT_MICROS
+                : recovering ? WatchTiming.RECOVERY_WAIT_MICROS : WatchTiming.WATCH_WAIT_MICROS;
             return MessageEncoder.getRequest("/v1/servers?since=" + revision + "&timeout_ms=" + waitMicros / 1000,
                 address.getHostString() + ':' + address.getPort());
         }
--- a/src/test/java/badgermux/decide/ModuleSourceTest.java
+++ b/src/test/java/badgermux/decide/ModuleSourceTest.java
@@ -20,7 +20,7 @@
         try (Stream<Path> files = Files.list(Path.of("src", "main", "java", "badgermux", "decide"))) {
             List<Path> sources = files.sorted().toList();
             for (String file : List.of("DefaultDispatchPolicy.java", "DispatchPolicy.java",
-                "ColdSendLedger.java", "WatchTiming.java")) {
+                "ColdSendLedger.java", "InitialListCheck.java", "WatchTiming.java")) {
                 assertTrue(sources.stream().anyMatch(source -> source.endsWith(file)), file + " is missing");
             }
             return sources;
--- a/src/test/java/badgermux/it/FakeServer.java
+++ b/src/test/java/badgermux/it/FakeServer.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * An HTTP server whose responses the test writes: requests are queued until the test takes them and responds. It stands for a
@@ -93,7 +95,11 @@
         }
     }
 
+    /** The first call of a process to discovery, which asks for an answer at once. */
+    private static final Pattern INITIAL_WATCH = Pattern.compile("\\?since=(\\d+)&timeout_ms=1 ");
+
     private final ServerSocket serverSocket;
+    private final boolean confirmsInitialLists;
     private final BlockingQueue<Exchange> exchanges = new LinkedBlockingQueue<>();
 
     FakeServer() throws IOException {
@@ -102,6 +108,11 @@
 
     /** Listens on the given port; 0 for any free one. */
     FakeServer(int port) throws IOException {
+        this(port, false);
+    }
+
+    private FakeServer(int port, boolean confirmsInitialLists) throws IOException {
+        this.confirmsInitialLists = confirmsInitialLists;
         serverSocket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         startDaemon(() -> {
             while (true) {
@@ -111,6 +122,14 @@
         });
     }
 
+    /**
+     * Starts a discovery service without news: it answers the first call of each process by itself, which confirms the list
+     * that the process starts with. The test takes and answers all other calls.
+     */
+    static FakeServer discovery() throws IOException {
+        return new FakeServer(0, true);
+    }
+
     private interface IoTask {
         void run() throws IOException;
     }
@@ -134,7 +153,13 @@
             for (String head = Client.readHead(in); head != null; head = Client.readHead(in)) {
                 String length = Client.header(head, "Content-Length");
                 byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
-                exchanges.add(new Exchange(head, new String(body, StandardCharsets.UTF_8), this, socket, closed));
+                Exchange exchange = new Exchange(head, new String(body, StandardCharsets.UTF_8), this, socket, closed);
+                Matcher initialWatch = INITIAL_WATCH.matcher(head);
+                if (confirmsInitialLists && initialWatch.find()) {
+                    exchange.reply("200 OK", "{\"revision\":" + initialWatch.group(1) + ",\"complete\":false,\"members\":[]}");
+                } else {
+                    exchanges.add(exchange);
+                }
             }
         } finally {
             closed.countDown();
--- a/src/test/java/badgermux/it/Program.java
+++ b/src/test/java/badgermux/it/Program.java
@@ -32,7 +32,7 @@
         + "{\"Name\":\"publish\",\"Effect\":\"by_key\",\"Group\":\"zone\",\"DedupWindowMs\":40000,"
         + "\"TargetMs\":4000,\"GiveUpMs\":5000}]}";
 
-    final FakeServer discovery = new FakeServer();
+    final FakeServer discovery = FakeServer.discovery();
     final Process process;
     private final BufferedReader log;
     private final Path configFile;
--- a/src/test/java/badgermux/it/Supervisor.java
+++ b/src/test/java/badgermux/it/Supervisor.java
@@ -106,7 +106,7 @@
         }
     }
 
-    final FakeServer discovery = new FakeServer();
+    final FakeServer discovery = FakeServer.discovery();
     /** The port of the clients' listening socket. */
     final int port;
     private final Path folder;
