Hold requests for the list of the start on sockets only

Cause: the simulator has no readiness probe and sends from the first moment, and where lists are pushed nobody there confirms the initial list; 72% of the first 5 s were refused.

Change: the hold is a setting of the module, holdsUntilListConfirmed, which the program on sockets and the scale runs turn on. PolicyFixture and SimulatorAdapterTest are as they were before the hold.

InitialListIT 9 of 9.

--- a/src/lab/java/badgermux/scale/HollowDispatcher.java
+++ b/src/lab/java/badgermux/scale/HollowDispatcher.java
@@ -56,6 +56,7 @@
         this.ids = ids;
         this.answers = answers;
         DispatchPolicy.Settings settings = config.settings();
+        settings.holdsUntilListConfirmed = true;
         timeoutMicros = settings.classes.get(0).clientTimeoutMicros();
         engine = new Engine<>(clock::nowMicros, deadlines, metrics, settings.maxAttempts);
         HttpBackendClient backends = new HttpBackendClient(loop, deadlines, clock::nowMicros, metrics, engine,
--- a/src/main/java/badgermux/DispatcherProcess.java
+++ b/src/main/java/badgermux/DispatcherProcess.java
@@ -164,6 +164,7 @@
             throw new IllegalStateException("shut down before clients could connect");
         }
         DispatchPolicy.Settings settings = config.settings();
+        settings.holdsUntilListConfirmed = true;
         DescriptorBudget budget = DescriptorBudget.of(config.maxDescriptors(), console != null);
         Engine<ForwardedRequest> engine = new Engine<>(clock::nowMicros, deadlines, metrics, settings.maxAttempts);
         HttpBackendClient backends = new HttpBackendClient(loop, deadlines, clock::nowMicros, metrics, engine,
--- a/src/main/java/badgermux/decide/DefaultDispatchPolicy.java
+++ b/src/main/java/badgermux/decide/DefaultDispatchPolicy.java
@@ -286,7 +286,8 @@
             runRound();
             if (!settings.listPushed) actions.watchBackendList();
         }
-        if (update == ListUpdate.CACHED) initialList.cachedListReceived(now);
+        if (update == ListUpdate.CACHED && settings.holdsUntilListConfirmed)
+            initialList.cachedListReceived(now);
         else if (update == ListUpdate.FAILED) initialList.callFailed(now);
         else initialList.listReceived();
         watchPauseMicros = update == ListUpdate.FAILED
--- a/src/main/java/badgermux/decide/DispatchPolicy.java
+++ b/src/main/java/badgermux/decide/DispatchPolicy.java
@@ -147,6 +147,11 @@
         public ReportMode reportMode = ReportMode.NEVER;
         /** Whether changes of the backend list are pushed; otherwise the list has to be watched. */
         public boolean listPushed = true;
+        /**
+         * Whether requests are held until discovery has confirmed the initial list. The caller confirms it by
+         * a further update or a failure, and keeps clients away meanwhile by its readiness probe.
+         */
+        public boolean holdsUntilListConfirmed;
         /** Whether backends may be probed. */
         public boolean mayProbe;
         /** How long a new connection may take to open. */
