Do not lengthen watches of an agent that serves one dispatcher only

Cause: the longer waits behind failed calls are for a discovery that all dispatchers share. WatchTimingTest, ModuleSourceTest and the case of InitialListIT with a pushed list pass.

--- a/src/main/java/badgermux/decide/WatchTiming.java
+++ b/src/main/java/badgermux/decide/WatchTiming.java
@@ -37,7 +37,10 @@
     public static final double MIN_WATCH_WAIT_FACTOR = 0.75;
     /** How long an answer may take beyond the wait that was asked for. */
     public static final long RESPONSE_GRACE_MICROS = 1_000_000;
-    /** A watch without a complete answer in this time is abandoned and repeated. */
+    /**
+     * A watch without a complete answer in this time is abandoned and repeated; one that waits for longer, in
+     * the same time after its wait.
+     */
     public static final long WATCH_TIMEOUT_MICROS = WATCH_WAIT_MICROS + RESPONSE_GRACE_MICROS;
     /** The wait that a call after a failure asks for: it only has to show whether discovery answers. */
     public static final long RECOVERY_WAIT_MICROS = 100_000;
--- a/src/main/java/badgermux/discovery/DiscoveryClient.java
+++ b/src/main/java/badgermux/discovery/DiscoveryClient.java
@@ -261,7 +261,10 @@
     private void onFailure(String reason) {
         metrics.increment(Count.DIRECTOR_FAILURES);
         recovering = true;
-        watchWaitMicros = WatchTiming.watchWaitAfterFailureMicros(watchWaitMicros);
+        // An agent on the own host is not shared with other dispatchers.
+        if (!listPushed) {
+            watchWaitMicros = WatchTiming.watchWaitAfterFailureMicros(watchWaitMicros);
+        }
         if (!failing) {
             Logger.warn("Discovery request failed: {}; keeping the current backend list, revision {}, confirmed {} ms ago", reason,
                 revision, listAgeMillis());
