--- /dev/null
+++ b/review/src/review/Settings.java
@@ -0,0 +1,30 @@
+package review;
+
+/** Settings of small deployments, with the figures of the site files. */
+final class Settings {
+    /** One dispatcher of the site metro-manila-main: load reports in answers, no probes. */
+    static final String METRO_MANILA = "{\"Balancers\":1,\"Me\":0,\"Tier\":0,\"Zone\":0,"
+        + "\"FailureDomains\":[\"makati\",\"pasig\",\"quezon-city\"],\"Kinds\":[\"std-7c\",\"slow-8c\"],\"Stages\":[\"zone-workers\"],"
+        + "\"Discovery\":\"pushed\",\"DomainType\":\"jobs\",\"GranularityMs\":2.0,\"Weights\":\"nominal\",\"WorthBy\":\"work\","
+        + "\"OverShareWorth\":0.1,\"Customers\":[],"
+        + "\"Report\":{\"How\":\"piggyback\",\"Columns\":[\"throughput\",\"recent_ms\",\"outstanding\",\"x0\"]},"
+        + "\"Ceilings\":{\"Cancel\":true,\"ConnIdleMs\":5000.0,\"ConnectTimeoutMs\":60.0,\"CpuUsPerRequest\":0.0,"
+        + "\"CpuUsPerS\":15000,\"MaxAttempts\":3,\"MaxOpen\":20000,\"MaxRetryAfterMs\":2000.0,\"Multiplex\":1,"
+        + "\"ParallelTries\":true,\"Peers\":false,\"Probes\":false,\"RetryAfter\":false},"
+        + "\"Clients\":{\"MarksRetry\":true},"
+        + "\"Extra\":{\"ClassKind\":[-1,-1,-1],\"ClassPriority\":[0,0,1],\"ClassStretch\":[1.75,1.75,2.5],\"ProgressMs\":2000.0,"
+        + "\"QueueOrder\":\"fifo\",\"ReportX0\":\"free slots\",\"TellsStart\":true},"
+        + "\"Penalties\":{\"Connection\":0.0,\"CrossZone\":0.02,\"Discovery\":0.0,\"Handshake\":0.08,\"LateFail\":0.096,"
+        + "\"Probe\":0.0,\"Waste\":0.2},"
+        + "\"Safety\":{\"AnswerSlackMs\":20.0,\"AskEveryMs\":10000.0,\"ColdMs\":24000.0,\"ColdShare\":0.12,\"FallMs\":1000.0,"
+        + "\"FallMultiple\":3.0,\"StopSendingWithinMs\":1000.0},"
+        + "\"RequestClasses\":["
+        + "{\"Name\":\"coverage-check\",\"Effect\":\"repeatable\",\"Group\":\"all\",\"DedupWindowMs\":5000.0,\"TargetMs\":60.0,"
+        + "\"GiveUpMs\":5000.0,\"Gain\":2.0,\"LateShare\":0.2,\"Stream\":false},"
+        + "{\"Name\":\"zone-redraw\",\"Effect\":\"once\",\"Group\":\"all\",\"DedupWindowMs\":5000.0,\"TargetMs\":200.0,"
+        + "\"GiveUpMs\":8000.0,\"Gain\":3.0,\"LateShare\":0.2,\"Stream\":false},"
+        + "{\"Name\":\"branch-launch\",\"Effect\":\"by_key\",\"Group\":\"zone\",\"DedupWindowMs\":12000.0,\"TargetMs\":200.0,"
+        + "\"GiveUpMs\":8000.0,\"Gain\":5.0,\"LateShare\":0.5,\"Stream\":false}]}";
+
+    private Settings() { }
+}
