--- a/review/src/review/Discovery.java
+++ b/review/src/review/Discovery.java
@@ -19,6 +19,9 @@
     private final List<Change> changes = new ArrayList<>();
     private final Listener listener;
     private long revision = 41;
+    /** Until when it has too many callers, by System.nanoTime. */
+    private long crowdedUntil = System.nanoTime();
+    private long queueLimitMillis;
 
     Discovery() throws IOException {
         listener = new Listener(this::serve);
@@ -41,6 +44,30 @@
         notifyAll();
     }
 
+    /**
+     * Has too many callers for a time: a call waits for its turn, and ends with 503 once it has waited too long.
+     *
+     * @param limitMillis how long a call may wait
+     */
+    synchronized void crowd(long millis, long limitMillis) {
+        crowdedUntil = System.nanoTime() + millis * 1_000_000;
+        queueLimitMillis = limitMillis;
+    }
+
+    /** Waits for the turn of a call; returns false if it has waited too long. */
+    private boolean awaitTurn() throws InterruptedException {
+        long crowdMillis;
+        long limitMillis;
+        synchronized (this) {
+            crowdMillis = (crowdedUntil - System.nanoTime()) / 1_000_000;
+            limitMillis = queueLimitMillis;
+        }
+        if (crowdMillis > 0) {
+            Thread.sleep(Math.min(crowdMillis, limitMillis));
+        }
+        return crowdMillis < limitMillis || crowdMillis <= 0;
+    }
+
     /** Returns the whole list. */
     synchronized String wholeList() {
         return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + String.join(",", members.values()) + "]}";
@@ -48,8 +75,15 @@
 
     private void serve(Socket socket) throws IOException, InterruptedException {
         for (Http.Message call = Http.read(socket.getInputStream()); call != null; call = Http.read(socket.getInputStream())) {
+            Trace.add("discovery: " + call.startLine());
+            if (!awaitTurn()) {
+                Trace.add("discovery: 503, the call has waited too long");
+                socket.getOutputStream().write(Http.bytes("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"));
+                continue;
+            }
             Matcher watch = WATCH.matcher(call.startLine());
             String list = watch.find() ? awaitChanges(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2))) : wholeList();
+            Trace.add("discovery: 200 " + list.length() + " bytes");
             socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list));
         }
     }
