--- a/review/src/review/Client.java
+++ b/review/src/review/Client.java
@@ -1,14 +1,17 @@
 package review;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 
 /** A client's connection: one request at a time. */
 final class Client implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MILLIS = 5000;
     private final Socket socket;
 
     Client(int port) throws IOException {
-        socket = new Socket("127.0.0.1", port);
+        socket = new Socket();
+        socket.connect(new InetSocketAddress("127.0.0.1", port), CONNECT_TIMEOUT_MILLIS);
         socket.setTcpNoDelay(true);
     }
 
--- a/review/src/review/CrowdedStart.java
+++ b/review/src/review/CrowdedStart.java
@@ -56,7 +56,7 @@
         }
         double start = Trace.now();
         Trace.add("the dispatcher is started with the list from before the drain");
-        Dispatcher dispatcher = new Dispatcher(folder, "n0", discovery.address(), known, Settings.NAIROBI_NOMS, 1024);
+        Dispatcher dispatcher = new Dispatcher(folder, "n0", discovery.address(), known, Settings.NAIROBI_NOMS, 1024, 192);
         dispatcher.awaitReady();
         Trace.add("the dispatcher is ready");
         int[] numbers = {0};
--- a/review/src/review/Dispatcher.java
+++ b/review/src/review/Dispatcher.java
@@ -24,12 +24,12 @@
      *
      * @param folder a folder for its configuration, its log and its TMPDIR
      */
-    Dispatcher(Path folder, String name, String discovery, String known, String settings, int sockets)
+    Dispatcher(Path folder, String name, String discovery, String known, String settings, int sockets, int memoryMb)
             throws IOException {
         port = freePort();
         Path config = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port
-            + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
-            + "\"sockets\":" + sockets + "},\"known\":" + known + ",\"settings\":" + settings + "}");
+            + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb
+            + ",\"sockets\":" + sockets + "},\"known\":" + known + ",\"settings\":" + settings + "}");
         Matcher run = RUN.matcher(Files.readString(Path.of("deploy/balancer.toml")));
         if (!run.find()) {
             throw new IOException("no run in deploy/balancer.toml");
--- a/review/src/review/IdleCrowd.java
+++ b/review/src/review/IdleCrowd.java
@@ -30,7 +30,7 @@
 
     private static final int[] RUNNING = new int[RUNNERS];
     private static int lostCount;
-    private static boolean couldNotRun;
+    private static volatile boolean couldNotRun;
 
     public static void main(String[] args) throws Exception {
         int exit = 2;
@@ -52,7 +52,7 @@
             discovery.put("s-" + i, Discovery.member("s-" + i, runner.address(), "hanoi", "new-4core", i, "SERVING", 0));
         }
         Dispatcher dispatcher = new Dispatcher(folder, "n0", discovery.address(), discovery.wholeList(),
-            Settings.PRESS_RENDER, SOCKETS);
+            Settings.PRESS_RENDER, SOCKETS, 192);
         dispatcher.awaitReady();
         for (int i = 1; i <= 5; i++) {      // a quiet start
             job(dispatcher.port, i);
@@ -62,7 +62,14 @@
             return 2;
         }
         if (trouble) {
-            Listener.daemon(() -> crowd(dispatcher.port));
+            Listener.daemon(() -> {
+                try {
+                    crowd(dispatcher.port);
+                } catch (IOException e) {
+                    couldNotRun = true;
+                    Trace.add("the case could not run: the crowd could not be opened: " + e.getMessage());
+                }
+            });
         }
         List<Thread> jobs = new ArrayList<>();
         for (int i = 1; i <= JOBS; i++) {
--- a/review/src/review/SecondAnswer.java
+++ b/review/src/review/SecondAnswer.java
@@ -46,7 +46,7 @@
             discovery.put(name, Discovery.member(name, runners[i].address(), "pasig", "std-7c", i, "SERVING", 0));
         }
         Dispatcher dispatcher = new Dispatcher(folder, "n0", discovery.address(), discovery.wholeList(),
-            Settings.METRO_MANILA, 1024);
+            Settings.METRO_MANILA, 1024, 192);
         dispatcher.awaitReady();
         int broken = 0;
         for (int i = 1; i <= JOBS; i++) {
