Frontend: bound how long connections may have waited to be accepted

Pauses for lack of room, failed accepts and a stalled event loop would all look like that from outside, and no figure told them apart.

Change: Acceptor takes over the listening socket from Frontend.

--- a/src/main/java/badgermux/front/Frontend.java
+++ b/src/main/java/badgermux/front/Frontend.java
@@ -8,17 +8,10 @@
 import badgermux.http.ForwardedRequest;
 import badgermux.metrics.Metrics;
 import badgermux.metrics.Metrics.Count;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.RecvByteBufAllocator;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -32,7 +25,7 @@
 import java.util.stream.IntStream;
 
 /** Accepts client connections, limits their number, and closes them when the process ends or hands over. */
-public final class Frontend {
+public final class Frontend implements Acceptor.Admission {
     /** How long after SIGTERM new connections are still served: the load balancer goes on sending them for a while. */
     static final long ACCEPT_AFTER_SIGTERM_MICROS = 700_000;
     /**
@@ -58,14 +51,10 @@
     static final long EVICTION_GRACE_WHEN_FULL_MICROS = 60_000;
     /** A connection that is still receiving a request this long after its start may be evicted if no other can be. */
     static final long EVICTION_GRACE_RECEIVING_MICROS = 3_000_000;
-    /** How long accepting pauses when there is no room. */
-    private static final long ACCEPT_PAUSE_MICROS = 20_000;
     /** After the pause, closing connections are aborted until there is room for this number of new ones. */
     private static final int ACCEPT_HEADROOM = 16;
     /** Retry-After of a request that is refused here because there is no room. */
     private static final long RETRY_AFTER_MICROS = 500_000;
-    /** Reads of one connection per round of the event loop: Netty's default. A request with its body takes fewer. */
-    private static final int MAX_READS_PER_LOOP = 16;
 
     private final LongSupplier clock;
     private final Deadlines deadlines;
@@ -98,9 +87,7 @@
     private final LinkedHashSet<FrontendConnection> closingConnections = new LinkedHashSet<>();
     /** The ids of all requests that have no final answer yet. */
     private final Set<String> openRequestIds = new HashSet<>();
-    private Channel listener;
-    /** Ends a pause of accepting; null if there is none. */
-    private Deadlines.Deadline acceptTimer;
+    private final Acceptor acceptor;
     /** Memory reserved for request bodies and pipelined input. */
     private long bodyBytes;
     /** Whether other processes hold the listening socket, too. */
@@ -148,6 +135,7 @@
         this.maxExtraConnections = maxExtraConnections;
         this.maxBodyBytes = maxBodyBytes;
         this.requestValidator = requestValidator;
+        acceptor = new Acceptor(clock, deadlines, metrics, this);
         metrics.registerGauge("client_connections_open", connections::size);
     }
 
@@ -164,10 +152,8 @@
 
     /** Listens on an address; the future completes when it is bound. */
     public ChannelFuture listen(EventLoopGroup loop, InetSocketAddress address) {
-        ChannelFuture bound = bootstrap(loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true).bind(address);
-        listener = bound.channel();
-        return bound;
+        afterInput = new AfterInputExecutor(loop.next());
+        return acceptor.listen(loop, address, new ConnectionInitializer());
     }
 
     /**
@@ -179,27 +165,14 @@
     public ChannelFuture listen(EventLoopGroup loop, ServerSocketChannel serverSocket, boolean startAccepting) {
         isListenerShared = true;
         isHandedOver = !startAccepting;
-        ChannelFuture registered = bootstrap(loop).channelFactory(() -> new NioServerSocketChannel(serverSocket))
-            .option(ChannelOption.AUTO_READ, startAccepting).register();
-        listener = registered.channel();
-        return registered;
+        afterInput = new AfterInputExecutor(loop.next());
+        return acceptor.listen(loop, serverSocket, startAccepting, new ConnectionInitializer());
     }
 
-    private ServerBootstrap bootstrap(EventLoopGroup loop) {
-        afterInput = new AfterInputExecutor(loop.next());
-        // Reads all input that has arrived, so that a client's disconnect is read in the same round as the request before it.
-        RecvByteBufAllocator readAllInput = new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false)
-            .maxMessagesPerRead(MAX_READS_PER_LOOP);
-        return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readAllInput)
-            // Accepts one connection at a time: a batch would be accepted whole before its first connection is counted.
-            .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
-            .handler(new AcceptFailureHandler(this::pauseAccepting))
-            .childHandler(new ChannelInitializer<SocketChannel>() {
-                @Override protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(new FrontendConnection(Frontend.this, channel));
-                }
-            });
+    private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
+        @Override protected void initChannel(SocketChannel channel) {
+            channel.pipeline().addLast(new FrontendConnection(Frontend.this, channel));
+        }
     }
 
     /** Replaces the two limits on connections that were given to the constructor. */
@@ -215,7 +188,7 @@
     public void handOver() {
         if (!isHandedOver && !isDraining) {
             isHandedOver = true;
-            stopAccepting();
+            acceptor.stop();
             idleCloseAtMicros = nowMicros() + KEEP_ALIVE_BEFORE_CLOSE_MICROS;
             idleCloseTimer = deadlines.scheduleAt(idleCloseAtMicros, this::closeIdleConnections);
         }
@@ -226,16 +199,10 @@
         if (isHandedOver && !isDraining) {
             isHandedOver = false;
             deadlines.cancel(idleCloseTimer);
-            listener.config().setAutoRead(true);
+            acceptor.resume();
         }
     }
 
-    private void stopAccepting() {
-        deadlines.cancel(acceptTimer);
-        acceptTimer = null;
-        listener.config().setAutoRead(false);
-    }
-
     /**
      * Serves requests for {@link #ACCEPT_AFTER_SIGTERM_MICROS} more, and runs {@code onDrained} when all connections are
      * closed and all requests have ended.
@@ -253,7 +220,7 @@
         finalAnswers.start();
         if (isListenerShared) {
             // New connections wait in the socket's queue for the next process, and are not refused.
-            stopAccepting();
+            acceptor.stop();
         }
         if (isHandedOver) {
             deadlines.scheduleAt(idleCloseAtMicros, () -> finishDrainWhenIdle(onDrained));
@@ -280,26 +247,20 @@
         // accepted yet, which are accepted between the two checks.
         if (isIdle && (isListenerShared || wasIdle)) {
             if (!isListenerShared) {
-                listener.close();
+                acceptor.close();
             }
             onDrained.run();
             return;
         }
         wasIdle = isIdle;
         if (isIdle) {
-            resumeAcceptingNow();
+            acceptor.resume();
         }
         deadlines.scheduleAfter(IDLE_CHECK_INTERVAL_MICROS, () -> finishDrainWhenIdle(onDrained));
     }
 
-    private void resumeAcceptingNow() {
-        deadlines.cancel(acceptTimer);
-        acceptTimer = null;
-        listener.config().setAutoRead(true);
-    }
-
     /** Returns the time up to which arrived input has been read: the start of the event loop's stall, if there is one. */
-    private long inputReadUntilMicros() {
+    @Override public long inputReadUntilMicros() {
         return nowMicros() - deadlines.stallMicros();
     }
 
@@ -322,16 +283,15 @@
         }
         connections.add(connection);
         silentConnections.add(connection);
-        if (connections.size() >= maxConnections + maxExtraConnections) {
-            pauseAccepting();
-        }
+        acceptor.pauseIfFull();
     }
 
-    private void pauseAccepting() {
-        if (acceptTimer == null && listener.config().isAutoRead()) {
-            listener.config().setAutoRead(false);
-            acceptTimer = deadlines.scheduleAfter(ACCEPT_PAUSE_MICROS, this::resumeAccepting);
-        }
+    /**
+     * Returns how many more connections are accepted. Without a limit they would use up the descriptors that backend
+     * connections and other parts need.
+     */
+    @Override public int room() {
+        return maxConnections + maxExtraConnections - connections.size();
     }
 
     /**
@@ -344,7 +304,7 @@
      */
     private boolean evictConnection() {
         long readUntil = inputReadUntilMicros();
-        long silentSince = readUntil - (connections.size() < maxConnections + maxExtraConnections
+        long silentSince = readUntil - (room() > 0
             ? EVICTION_GRACE_MICROS : EVICTION_GRACE_WHEN_FULL_MICROS);
         FrontendConnection victim = firstOrNull(unprovenConnections);
         victim = victim == null ? firstSilentSince(silentConnections, silentSince) : victim;
@@ -407,22 +367,12 @@
         return candidates.isEmpty() ? null : candidates.iterator().next();
     }
 
-    /**
-     * Makes room and accepts again, or pauses once more if there is still no room. Accepting without a limit would use up the
-     * descriptors that backend connections and other parts need.
-     */
-    private void resumeAccepting() {
-        acceptTimer = null;
+    @Override public void makeRoom() {
         boolean hasEvicted = true;
         while (hasEvicted && activeConnectionCount() > maxConnections) {
             hasEvicted = evictConnection();
         }
         abortClosingConnections();
-        if (connections.size() < maxConnections + maxExtraConnections) {
-            listener.config().setAutoRead(true);
-        } else {
-            acceptTimer = deadlines.scheduleAfter(ACCEPT_PAUSE_MICROS, this::resumeAccepting);
-        }
     }
 
     /** Part of a request has been received. */
@@ -535,13 +485,13 @@
 
     /** Returns why requests can't be served, as the console prints it; null if they can. */
     public String notReadyReason() {
-        return isDraining ? "this process is ending" : !listener.isActive() ? "clients can't connect yet"
+        return isDraining ? "this process is ending" : !acceptor.isListening() ? "clients can't connect yet"
             : readiness.getAsBoolean() ? null : "there is no list of runners yet";
     }
 
     /** Returns the address that clients connect to. */
     public SocketAddress address() {
-        return listener.localAddress();
+        return acceptor.address();
     }
 
     /** Returns the validator of requests; null if there is none. */
