Frontend: count a request's deadline from before its wait in the listening socket's queue

Cause: FrontendConnection counted the client's time from when the request was read, less a stall of the event loop. Whatever the connection had waited before it was accepted was unknown and not counted. A deadline of 2 s for a request that had waited for 2.6 s ended 2.6 s late, and the final answer hung on it.

Change: the first input of a connection counts as arrived at the earliest time that AcceptQueue names, so the deadline is never too late. A connection is taken to have waited if that time is more than 50 ms ago; a stall is part of it. A request whose time has passed in the queue is refused at once, and no backend is tried.

Tests: AcceptQueueIT, of whose three two failed before: "0.4 s of 2 s have passed, but 1969475 us are left", and 504 in place of 503. EventOrderIT, SlowClientsIT, MisbehavingClientsIT, DescriptorLimitIT and ServeIT pass.

--- a/src/main/java/badgermux/front/Frontend.java
+++ b/src/main/java/badgermux/front/Frontend.java
@@ -171,7 +171,8 @@
 
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
         @Override protected void initChannel(SocketChannel channel) {
-            channel.pipeline().addLast(new FrontendConnection(Frontend.this, channel));
+            channel.pipeline().addLast(new FrontendConnection(Frontend.this, channel,
+                channel.attr(ListenerChannel.EARLIEST_ARRIVAL_MICROS).get()));
         }
     }
 
@@ -440,13 +441,9 @@
         return isDraining && (finalAnswers.hasBegun() || nowMicros() >= drainStartMicros + finalAnswerDelayMicros);
     }
 
-    /**
-     * Whether a connection that is accepted now may have waited in the socket's queue, so that its client may have
-     * disconnected: there was no room, or the event loop stalled.
-     */
-    boolean mayAcceptLate() {
-        return activeConnectionCount() >= maxConnections
-            || deadlines.stallMicros() > FrontendConnection.LATE_ACCEPT_WAIT_MICROS;
+    /** Whether as many connections are open as are served at once. */
+    boolean isAtConnectionLimit() {
+        return activeConnectionCount() >= maxConnections;
     }
 
     /** Whether the open requests have reached the limit on connections; further requests are refused. */
--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -48,7 +48,7 @@
     /** A request that is being received, is queued behind an unanswered one, or is being served. */
     private static final class IncomingRequest {
         private final long startMicros;
-        /** When its last byte arrived; deadlines count from there. */
+        /** The earliest time at which its last byte can have arrived; deadlines count from there. */
         private long completeMicros;
         private MessageHead head;
         private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
@@ -66,6 +66,8 @@
     private final MessageReader reader = new MessageReader(false, MessageReader.MAX_BODY_BYTES, this);
     private final ByteBuf unreadInput = Unpooled.buffer(INITIAL_BUFFER_BYTES);
     private final long openedMicros;
+    /** The earliest time at which the connection can have arrived in the listening socket's queue. */
+    private final long earliestArrivalMicros;
     /** Null if no part of a request has been received. */
     private IncomingRequest receivingRequest;
     /** The complete request behind the current one; null if there is none. */
@@ -79,8 +81,12 @@
     /** The engine's id of the current request; 0 if it has not been submitted or is answered. */
     private long engineRequestId;
     private long lastReadMicros;
-    /** When the last input may have arrived: before {@link #lastReadMicros} if the event loop stalled. */
+    /**
+     * The earliest time at which the last input can have arrived: before {@link #lastReadMicros} if the event loop stalled, or
+     * if the connection waited to be accepted.
+     */
     private long arrivalMicros;
+    private boolean hasRead;
     /** Whether the connection waited to be accepted, so that the client of its first request may have disconnected. */
     private boolean wasAcceptedLate;
     private ChannelFuture lastWrite;
@@ -97,9 +103,15 @@
     private boolean mayCrossRequest;
     private boolean isClosed;
 
-    FrontendConnection(Frontend frontend, SocketChannel channel) {
+    /**
+     * Creates a handler for an accepted connection.
+     *
+     * @param earliestArrivalMicros the earliest time at which the connection can have arrived in the listening socket's queue
+     */
+    FrontendConnection(Frontend frontend, SocketChannel channel, long earliestArrivalMicros) {
         this.frontend = frontend;
         this.channel = channel;
+        this.earliestArrivalMicros = earliestArrivalMicros;
         openedMicros = frontend.nowMicros();
         lastReadMicros = openedMicros;
     }
@@ -131,7 +143,7 @@
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
         readTimeout = frontend.deadlines().scheduleAfter(READ_TIMEOUT_MICROS, this::readTimedOut);
-        wasAcceptedLate = frontend.mayAcceptLate();
+        wasAcceptedLate = frontend.isAtConnectionLimit() || openedMicros - earliestArrivalMicros > LATE_ACCEPT_WAIT_MICROS;
         lastWrite = channel.newSucceededFuture();
         frontend.connectionOpened(this);
     }
@@ -155,7 +167,11 @@
         isReceivingInPieces |= receivingRequest != null && now - lastReadMicros > SEPARATE_SEND_GAP_MICROS;
         lastReadMicros = now;
         // The client's deadline counts from its last byte, which may have arrived before this read.
-        arrivalMicros = now - frontend.deadlines().stallMicros();
+        arrivalMicros = frontend.inputReadUntilMicros();
+        if (!hasRead) {
+            arrivalMicros = Math.min(arrivalMicros, earliestArrivalMicros);
+            hasRead = true;
+        }
         unreadInput.discardReadBytes().writeBytes(in);
         in.release();
         processInput();
@@ -398,6 +414,10 @@
             submit(fields, requestClass, body, true);
             return;
         }
+        if (deadlineMicros(fields, requestClass) <= frontend.nowMicros()) {
+            refuse(requestClass);
+            return;
+        }
         wasAcceptedLate = false;
         IncomingRequest submitted = currentRequest;
         frontend.deadlines().scheduleAfter(LATE_ACCEPT_WAIT_MICROS, () -> {
@@ -414,12 +434,17 @@
         }
         ForwardedRequest forwarded =
             new ForwardedRequest(fields.id(), fields.requestLine(), fields.headers(), body, responseContract);
+        long submittedId = frontend.engine().submit(this, forwarded, requestClass, frontend.tenantIndex(fields.tenant()),
+            fields.slots(), deadlineMicros(fields, requestClass), isDeadlineKnown);
+        engineRequestId = isAwaitingAnswer ? submittedId : 0;     // the request may be answered already
+    }
+
+    /** Returns the earliest time at which the client of the current request can give up. */
+    private long deadlineMicros(RequestFields fields, int requestClass) {
         // Caps the client's timeout by its class's: a longer one would make the policy treat all other requests as late.
         long timeoutMicros = Math.min(fields.timeoutMicros() > 0 ? fields.timeoutMicros() : Long.MAX_VALUE,
             frontend.classDeadlineMicros(requestClass));
-        long submittedId = frontend.engine().submit(this, forwarded, requestClass, frontend.tenantIndex(fields.tenant()),
-            fields.slots(), currentRequest.completeMicros + timeoutMicros, isDeadlineKnown);
-        engineRequestId = isAwaitingAnswer ? submittedId : 0;     // the request may be answered already
+        return currentRequest.completeMicros + timeoutMicros;
     }
 
     /** Answers operators' requests for readiness and metrics. */
--- /dev/null
+++ b/src/test/java/badgermux/it/AcceptQueueIT.java
@@ -0,0 +1,81 @@
+package badgermux.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Requests whose connections wait in the listening socket's queue: their clients' time runs from when they were sent. */
+@Timeout(60)
+class AcceptQueueIT {
+    /** How long nothing is accepted. */
+    private static final int PAUSE_MILLIS = 400;
+
+    private InProcessDispatcher dispatcher;
+
+    @BeforeEach void start() throws Exception {
+        dispatcher = new InProcessDispatcher();
+    }
+
+    @AfterEach void stop() {
+        dispatcher.close();
+    }
+
+    /** Connects and sends a request that waits in the queue for {@link #PAUSE_MILLIS}. */
+    private Client sendIntoQueue(String timeout) throws Exception {
+        dispatcher.runOnEventLoop(dispatcher.frontend::handOver);
+        Client client = dispatcher.client().send(Client.request("/preview", timeout, "", ""));
+        TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);   // how long the request waits
+        dispatcher.runOnEventLoop(dispatcher.frontend::cancelHandover);
+        return client;
+    }
+
+    /** Guards against a deadline that counts from when the request was read: backends were told more time than was left. */
+    @Test void deadlineCountsFromBeforeTheWaitInTheQueue() throws Exception {
+        try (Client client = sendIntoQueue("2000m")) {
+            long requestId = dispatcher.awaitRequest();
+            long[] remainingMicros = new long[1];
+            dispatcher.runOnEventLoop(() -> {
+                remainingMicros[0] = dispatcher.lastRemainingMicros();
+                dispatcher.engine.refuse(requestId, 0);
+            });
+            assertTrue(remainingMicros[0] < 1_600_000, "0.4 s of 2 s have passed, but " + remainingMicros[0] + " us are left");
+            assertEquals(503, client.read().status());
+        }
+    }
+
+    /** Guards against an attempt for a client that has given up: the request is refused as soon as it is read. */
+    @Test void requestWhoseTimeHasPassedInTheQueueIsRefused() throws Exception {
+        try (Client client = sendIntoQueue("200m")) {
+            assertEquals(503, client.read().status());
+            assertFalse(dispatcher.hasRequest(), "no backend is tried");
+        }
+    }
+
+    /** A wait that is over is not charged to later connections, or to later requests of a connection that has waited. */
+    @Test void laterRequestsHaveTheirWholeTime() throws Exception {
+        try (Client waited = sendIntoQueue("2000m")) {
+            long firstId = dispatcher.awaitRequest();
+            dispatcher.runOnEventLoop(() -> dispatcher.engine.refuse(firstId, 0));
+            assertEquals(503, waited.read().status());
+            assertNextRequestHasItsWholeTime(waited);
+            try (Client later = dispatcher.client()) {
+                assertNextRequestHasItsWholeTime(later);
+            }
+        }
+    }
+
+    private void assertNextRequestHasItsWholeTime(Client client) throws Exception {
+        client.send(Client.request("/preview", "2000m", "", ""));
+        dispatcher.awaitRequest();
+        long[] remainingMicros = new long[1];
+        dispatcher.runOnEventLoop(() -> remainingMicros[0] = dispatcher.lastRemainingMicros());
+        assertTrue(remainingMicros[0] > 1_700_000, "only " + remainingMicros[0] + " us of 2 s are left");
+    }
+}
