Frontend: move the sets of connections and their eviction to ClientConnections

Names, order of candidates and spans are as before.

Measured: AcceptQueueIT, EventOrderIT, SlowClientsIT, MisbehavingClientsIT and ShutdownEdgeCasesIT pass.

--- a/src/main/java/badgermux/front/Frontend.java
+++ b/src/main/java/badgermux/front/Frontend.java
@@ -16,7 +16,6 @@
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -25,7 +24,7 @@
 import java.util.stream.IntStream;
 
 /** Accepts client connections, limits their number, and closes them when the process ends or hands over. */
-public final class Frontend implements Acceptor.Admission {
+public final class Frontend {
     /** How long after SIGTERM new connections are still served: the load balancer goes on sending them for a while. */
     static final long ACCEPT_AFTER_SIGTERM_MICROS = 700_000;
     /**
@@ -42,17 +41,6 @@
     private static final long FINAL_ANSWER_MARGIN_MICROS = 400_000;
     /** How often a draining process checks whether it is idle. */
     private static final long IDLE_CHECK_INTERVAL_MICROS = 50_000;
-    /** A connection that has been silent for this long may be evicted: clients send as soon as they are connected. */
-    static final long EVICTION_GRACE_MICROS = 300_000;
-    /**
-     * Replaces {@link #EVICTION_GRACE_MICROS} while no further connection can be accepted. After this span, input that has
-     * arrived has been read.
-     */
-    static final long EVICTION_GRACE_WHEN_FULL_MICROS = 60_000;
-    /** A connection that is still receiving a request this long after its start may be evicted if no other can be. */
-    static final long EVICTION_GRACE_RECEIVING_MICROS = 3_000_000;
-    /** After the pause, closing connections are aborted until there is room for this number of new ones. */
-    private static final int ACCEPT_HEADROOM = 16;
     /** Retry-After of a request that is refused here because there is no room. */
     private static final long RETRY_AFTER_MICROS = 500_000;
 
@@ -67,26 +55,14 @@
     /** Indexes of the request classes that need an Idempotency-Key. */
     private final Set<Integer> keyedClasses;
     private final BooleanSupplier readiness;
-    private int maxConnections;
-    private int maxExtraConnections;
     private final long maxBodyBytes;
     private final long retryAfterMicros;
     private final long finalAnswerDelayMicros;
     /** Null if requests are not validated. */
     private final RequestValidator requestValidator;
-    private final LinkedHashSet<FrontendConnection> connections = new LinkedHashSet<>();
-    /** Connections that have sent nothing yet, oldest first. */
-    private final LinkedHashSet<FrontendConnection> silentConnections = new LinkedHashSet<>();
-    /** Connections that have sent part of a request, longest silent first. */
-    private final LinkedHashSet<FrontendConnection> receivingConnections = new LinkedHashSet<>();
-    /** Idle connections that have not sent a valid POST request, longest idle first. */
-    private final LinkedHashSet<FrontendConnection> unprovenConnections = new LinkedHashSet<>();
-    /** Idle connections that have sent a valid POST request before, longest idle first. */
-    private final LinkedHashSet<FrontendConnection> idleConnections = new LinkedHashSet<>();
-    /** Connections in a lingering close, longest closing first. */
-    private final LinkedHashSet<FrontendConnection> closingConnections = new LinkedHashSet<>();
     /** The ids of all requests that have no final answer yet. */
     private final Set<String> openRequestIds = new HashSet<>();
+    private final ClientConnections connections;
     private final Acceptor acceptor;
     /** Memory reserved for request bodies and pipelined input. */
     private long bodyBytes;
@@ -131,12 +107,10 @@
         finalAnswerDelayMicros = finalAnswerDelayMicros(
             classDeadlineMicros.stream().mapToLong(Long::longValue).max().orElse(MAX_KILL_DEADLINE_MICROS));
         this.readiness = readiness;
-        this.maxConnections = maxConnections;
-        this.maxExtraConnections = maxExtraConnections;
         this.maxBodyBytes = maxBodyBytes;
         this.requestValidator = requestValidator;
-        acceptor = new Acceptor(clock, deadlines, metrics, this);
-        metrics.registerGauge("client_connections_open", connections::size);
+        connections = new ClientConnections(clock, deadlines, metrics, maxConnections, maxExtraConnections);
+        acceptor = new Acceptor(clock, deadlines, metrics, connections);
     }
 
     /**
@@ -178,8 +152,7 @@
 
     /** Replaces the two limits on connections that were given to the constructor. */
     public void setConnectionLimits(int max, int maxExtra) {
-        maxConnections = max;
-        maxExtraConnections = maxExtra;
+        connections.setLimits(max, maxExtra);
     }
 
     /**
@@ -191,7 +164,7 @@
             isHandedOver = true;
             acceptor.stop();
             idleCloseAtMicros = nowMicros() + KEEP_ALIVE_BEFORE_CLOSE_MICROS;
-            idleCloseTimer = deadlines.scheduleAt(idleCloseAtMicros, this::closeIdleConnections);
+            idleCloseTimer = deadlines.scheduleAt(idleCloseAtMicros, connections::closeIdle);
         }
     }
 
@@ -227,22 +200,15 @@
             deadlines.scheduleAt(idleCloseAtMicros, () -> finishDrainWhenIdle(onDrained));
             return;
         }
-        deadlines.scheduleAt(startMicros + KEEP_ALIVE_BEFORE_CLOSE_MICROS, this::closeIdleConnections);
+        deadlines.scheduleAt(startMicros + KEEP_ALIVE_BEFORE_CLOSE_MICROS, connections::closeIdle);
         deadlines.scheduleAt(startMicros + ACCEPT_AFTER_SIGTERM_MICROS, () -> finishDrainWhenIdle(onDrained));
     }
 
     private void finishDrainWhenIdle(Runnable onDrained) {
-        closeIdleConnections();
-        long readUntil = inputReadUntilMicros();
-        // Closes new connections only after a silence, as their first request could be on its way when they close.
-        List.copyOf(silentConnections).stream()
-            .filter(c -> readUntil - c.openedMicros() >= EVICTION_GRACE_MICROS)
-            .forEach(FrontendConnection::close);
+        connections.closeIdle();
+        connections.closeSilent();
         // Refuses incomplete requests: once complete, they could not be answered before SIGKILL.
-        List.copyOf(receivingConnections).stream()
-            .filter(c -> nowMicros() >= drainStartMicros + ACCEPT_AFTER_SIGTERM_MICROS
-                || !c.isReceivingInPieces() && readUntil - c.lastReadMicros() >= EVICTION_GRACE_MICROS)
-            .forEach(FrontendConnection::refuseIncompleteRequest);
+        connections.refuseIncomplete(nowMicros() >= drainStartMicros + ACCEPT_AFTER_SIGTERM_MICROS);
         boolean isIdle = connections.isEmpty() && engine.openRequestCount() == 0;
         // A listener that is not shared is closed at the second idle check in a row: the kernel may hold connections not
         // accepted yet, which are accepted between the two checks.
@@ -260,162 +226,21 @@
         deadlines.scheduleAfter(IDLE_CHECK_INTERVAL_MICROS, () -> finishDrainWhenIdle(onDrained));
     }
 
-    /** Returns the time up to which arrived input has been read: the start of the event loop's stall, if there is one. */
-    @Override public long inputReadUntilMicros() {
-        return nowMicros() - deadlines.stallMicros();
-    }
-
-    private void closeIdleConnections() {
-        List.copyOf(idleConnections).forEach(FrontendConnection::close);
-        List.copyOf(unprovenConnections).forEach(FrontendConnection::close);
-    }
-
     // ---- Called by connections
 
     void connectionOpened(FrontendConnection connection) {
         metrics.increment(Count.CLIENT_CONNECTIONS);
         // Evicts after this round of input, as the request of a connection that looks silent may be read in it.
-        if (activeConnectionCount() >= maxConnections) {
-            afterInput.execute(() -> {
-                if (activeConnectionCount() > maxConnections) {
-                    evictConnection();
-                }
-            });
+        if (connections.isAtLimit()) {
+            afterInput.execute(connections::evictIfOverLimit);
         }
-        connections.add(connection);
-        silentConnections.add(connection);
+        connections.opened(connection);
         acceptor.pauseIfFull();
     }
 
-    /**
-     * Returns how many more connections are accepted. Without a limit they would use up the descriptors that backend
-     * connections and other parts need.
-     */
-    @Override public int room() {
-        return maxConnections + maxExtraConnections - connections.size();
-    }
-
-    /**
-     * Closes the least useful connection, if there is one. Candidates in this order: an idle connection that has not sent a
-     * valid request; one that has been silent since it was opened; one that stopped sending in the middle of a request; an
-     * idle connection that has sent a valid request, whose client resends a request that was on its way at the close; and a
-     * connection that is still receiving a request after {@link #EVICTION_GRACE_RECEIVING_MICROS}.
-     *
-     * @return whether a connection was closed
-     */
-    private boolean evictConnection() {
-        long readUntil = inputReadUntilMicros();
-        long silentSince = readUntil - (room() > 0
-            ? EVICTION_GRACE_MICROS : EVICTION_GRACE_WHEN_FULL_MICROS);
-        FrontendConnection victim = firstOrNull(unprovenConnections);
-        victim = victim == null ? firstSilentSince(silentConnections, silentSince) : victim;
-        victim = victim == null ? firstSilentSince(receivingConnections, readUntil - EVICTION_GRACE_MICROS) : victim;
-        victim = victim == null ? firstOrNull(idleConnections) : victim;
-        // Otherwise clients that send a byte now and then could occupy all connections.
-        victim = victim != null ? victim : receivingConnections.stream()
-            .filter(c -> readUntil - c.requestStartMicros() >= EVICTION_GRACE_RECEIVING_MICROS).findFirst().orElse(null);
-        if (victim == null) {
-            return false;
-        }
-        metrics.increment(Count.CLIENT_CONNECTIONS_EVICTED);
-        // Sends an answer to a partial request, as its last bytes may be on their way at the close.
-        if (receivingConnections.contains(victim)) {
-            victim.refuseIncompleteRequest();
-        } else {
-            victim.close();
-        }
-        return true;
-    }
-
-    /** Returns how many connections are open and not closing. */
-    private int activeConnectionCount() {
-        return connections.size() - closingConnections.size();
-    }
-
-    /**
-     * Aborts connections that have been closing for {@link #EVICTION_GRACE_WHEN_FULL_MICROS}, until there is room for new ones.
-     * Otherwise many lingering closes could keep new connections out.
-     */
-    private void abortClosingConnections() {
-        int targetCount = maxConnections + maxExtraConnections - Math.min(ACCEPT_HEADROOM, maxExtraConnections);
-        for (FrontendConnection connection : List.copyOf(closingConnections)) {
-            if (connections.size() <= targetCount || nowMicros() - connection.closingMicros() < EVICTION_GRACE_WHEN_FULL_MICROS) {
-                return;
-            }
-            connectionClosed(connection);     // counted now, as channelInactive follows later
-            connection.abort();
-        }
-    }
-
-    /**
-     * Returns the first connection that is not receiving in pieces and has been silent since a time; null if there is none.
-     *
-     * @param candidates longest silent first
-     */
-    private static FrontendConnection firstSilentSince(LinkedHashSet<FrontendConnection> candidates, long sinceMicros) {
-        for (FrontendConnection connection : candidates) {
-            if (connection.lastReadMicros() > sinceMicros) {
-                return null;
-            }
-            if (!connection.isReceivingInPieces()) {
-                return connection;
-            }
-        }
-        return null;
-    }
-
-    private static FrontendConnection firstOrNull(LinkedHashSet<FrontendConnection> candidates) {
-        return candidates.isEmpty() ? null : candidates.iterator().next();
-    }
-
-    @Override public void makeRoom() {
-        boolean hasEvicted = true;
-        while (hasEvicted && activeConnectionCount() > maxConnections) {
-            hasEvicted = evictConnection();
-        }
-        abortClosingConnections();
-    }
-
-    /** Part of a request has been received. */
-    void connectionReceiving(FrontendConnection connection) {
-        if (connections.contains(connection)) {
-            removeFromAllSets(connection);
-            receivingConnections.add(connection);
-        }
-    }
-
-    /** The connection has neither an open nor a partial request. */
-    void connectionIdle(FrontendConnection connection) {
-        if (connections.contains(connection)) {
-            removeFromAllSets(connection);
-            (connection.hasSentRequest() ? idleConnections : unprovenConnections).add(connection);
-        }
-    }
-
-    /** The connection has an open request and can't be evicted. */
-    void connectionBusy(FrontendConnection connection) {
-        removeFromAllSets(connection);
-    }
-
-    /** The connection has started a lingering close. */
-    void connectionClosing(FrontendConnection connection) {
-        removeFromAllSets(connection);
-        if (connections.contains(connection)) {
-            closingConnections.add(connection);
-        }
-    }
-
-    void connectionClosed(FrontendConnection connection) {
-        connections.remove(connection);
-        removeFromAllSets(connection);
-    }
-
-    private void removeFromAllSets(FrontendConnection connection) {
-        silentConnections.remove(connection);
-        receivingConnections.remove(connection);
-        unprovenConnections.remove(connection);
-        idleConnections.remove(connection);
-        closingConnections.remove(connection);
+    /** Returns the open connections, which learn of each change of a connection's state. */
+    ClientConnections connections() {
+        return connections;
     }
 
     /** Whether a request with this id has no final answer yet. */
@@ -441,14 +266,9 @@
         return isDraining && (finalAnswers.hasBegun() || nowMicros() >= drainStartMicros + finalAnswerDelayMicros);
     }
 
-    /** Whether as many connections are open as are served at once. */
-    boolean isAtConnectionLimit() {
-        return activeConnectionCount() >= maxConnections;
-    }
-
     /** Whether the open requests have reached the limit on connections; further requests are refused. */
     boolean isAtRequestLimit() {
-        return openRequestIds.size() >= maxConnections;
+        return openRequestIds.size() >= connections.maxConnections();
     }
 
     /** Returns the Retry-After of a request that is refused because there is no room; 0 for none. */
--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -143,7 +143,7 @@
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
         readTimeout = frontend.deadlines().scheduleAfter(READ_TIMEOUT_MICROS, this::readTimedOut);
-        wasAcceptedLate = frontend.isAtConnectionLimit() || openedMicros - earliestArrivalMicros > LATE_ACCEPT_WAIT_MICROS;
+        wasAcceptedLate = frontend.connections().isAtLimit() || openedMicros - earliestArrivalMicros > LATE_ACCEPT_WAIT_MICROS;
         lastWrite = channel.newSucceededFuture();
         frontend.connectionOpened(this);
     }
@@ -167,7 +167,7 @@
         isReceivingInPieces |= receivingRequest != null && now - lastReadMicros > SEPARATE_SEND_GAP_MICROS;
         lastReadMicros = now;
         // The client's deadline counts from its last byte, which may have arrived before this read.
-        arrivalMicros = frontend.inputReadUntilMicros();
+        arrivalMicros = frontend.connections().inputReadUntilMicros();
         if (!hasRead) {
             arrivalMicros = Math.min(arrivalMicros, earliestArrivalMicros);
             hasRead = true;
@@ -255,11 +255,11 @@
             readTimeout = null;
         }
         if (isAwaitingAnswer) {
-            frontend.connectionBusy(this);
+            frontend.connections().busy(this);
         } else if (isPartial) {
-            frontend.connectionReceiving(this);
+            frontend.connections().receiving(this);
         } else {
-            frontend.connectionIdle(this);
+            frontend.connections().idle(this);
         }
     }
 
@@ -350,7 +350,7 @@
         // The id is in use from here on, also during validation.
         openRequestId = fields.id();
         frontend.registerRequest(openRequestId);
-        frontend.connectionBusy(this);
+        frontend.connections().busy(this);
         engineRequestId = 0;
         if (frontend.requestValidator() == null) {
             submit(fields, requestClass, body);
@@ -534,7 +534,7 @@
         discardInput();
         frontend.deadlines().cancel(readTimeout);
         readTimeout = frontend.deadlines().scheduleAfter(READ_TIMEOUT_MICROS, this::abort);
-        frontend.connectionClosing(this);
+        frontend.connections().closing(this);
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         written.addListener(done -> {
             if (done.isSuccess() && !isClosed) {
@@ -598,7 +598,7 @@
     /** Ends the current request when the client disconnects, also while the request waits for its answer. */
     @Override public void channelInactive(ChannelHandlerContext ctx) {
         isClosed = true;
-        frontend.connectionClosed(this);
+        frontend.connections().closed(this);
         frontend.deadlines().cancel(readTimeout);
         long openEngineRequestId = isAwaitingAnswer ? engineRequestId : 0;
         finishRequest();
