ClientConnections: make room at once when connections may have waited for 0.1 s

Cause: what decides the wait is how long a place is held. When all places were taken, a new connection was closed after 60 ms of silence, its lingering close was cut off after 60 ms more, and both were looked at every 20 ms: at 256 descriptors 32 places were given out anew in 140 ms, so the queue of 1,024 took seconds. Half a request held its place for 0.3 s, a byte now and then for 3 s.

Change: accepting pauses for 5 ms. While connections may have waited for more than 0.1 s, no span of silence is waited for. A connection may be closed once its input was read in a round of the event loop: whoever has sent a whole request by then is served, a new connection that said nothing is closed at once, half a request gets its 503, and a closing connection goes as soon as its answer is handed to the system. So all places beyond the limit are given out anew in 5 to 10 ms. Spans and order are as before while nobody has waited for so long.

EventOrderIT, SlowClientsIT, MisbehavingClientsIT and DescriptorLimitIT pass.

--- a/src/main/java/badgermux/front/AcceptQueue.java
+++ b/src/main/java/badgermux/front/AcceptQueue.java
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Returns how long a connection that is in the queue now may have waited, in microseconds; 0 if the queue was seen empty. */
+    long waitMicros(long nowMicros) {
+        return arrivedSinceMicros == Long.MAX_VALUE ? 0 : nowMicros - arrivedSinceMicros;
+    }
+
     /** Returns the longest possible wait of all connections accepted so far, in microseconds. */
     long maxWaitMicros() {
         return maxWaitMicros;
--- a/src/main/java/badgermux/front/Acceptor.java
+++ b/src/main/java/badgermux/front/Acceptor.java
@@ -28,8 +28,12 @@
         /** Returns how many more connections there is room for. */
         int room();
 
-        /** Closes connections to make room; called after a pause. */
-        void makeRoom();
+        /**
+         * Closes connections to make room; called after a pause.
+         *
+         * @param isUrgent whether connections may have waited in the queue for so long that their requests are at risk
+         */
+        void makeRoom(boolean isUrgent);
 
         /** Returns the time up to which input that had arrived has been read, in microseconds. */
         long inputReadUntilMicros();
@@ -38,7 +42,12 @@
     /** Connections that the queue of a listening socket of this process holds; the system may allow fewer. */
     private static final int QUEUE_CAPACITY = 1024;
     /** How long accepting pauses when there is no room. */
-    private static final long PAUSE_MICROS = 20_000;
+    private static final long PAUSE_MICROS = 5_000;
+    /**
+     * Connections that may have waited for longer make the next room urgent. An attempt may begin 0.1 s after its client has
+     * left; requests are lost half a second after their time.
+     */
+    private static final long URGENT_WAIT_MICROS = 100_000;
     /** Connections accepted in one round of the event loop, which has other work, too. */
     private static final int MAX_ACCEPTS_PER_LOOP = 64;
     /** Reads of one connection per round of the event loop: Netty's default. A request with its body takes fewer. */
@@ -126,7 +135,7 @@
 
     /** Accepts again, or pauses once more if no room can be made. */
     private void endPause() {
-        admission.makeRoom();
+        admission.makeRoom(queue.waitMicros(clock.getAsLong()) > URGENT_WAIT_MICROS);
         if (admission.room() > 0) {
             resume();
         } else {
--- a/src/main/java/badgermux/front/ClientConnections.java
+++ b/src/main/java/badgermux/front/ClientConnections.java
@@ -26,6 +26,8 @@
     private final Metrics metrics;
     private int maxConnections;
     private int maxExtraConnections;
+    /** When room was made last. */
+    private long roomMadeMicros;
     private final LinkedHashSet<FrontendConnection> open = new LinkedHashSet<>();
     /** Connections that have sent nothing yet, oldest first. */
     private final LinkedHashSet<FrontendConnection> silent = new LinkedHashSet<>();
@@ -177,12 +179,24 @@
         }
     }
 
-    @Override public void makeRoom() {
+    /**
+     * Closes connections until only as many are left as are served at once, if so many may be closed. If it is urgent, the
+     * spans of silence are not waited for: a connection may be closed once its input has been read in a round of the event
+     * loop, as the connections that wait may have brought whole requests.
+     */
+    @Override public void makeRoom(boolean isUrgent) {
+        // What was open when room was made last has been read since: the event loop reads between two deadlines.
+        long readSince = roomMadeMicros;
+        roomMadeMicros = clock.getAsLong();
         boolean hasEvicted = true;
         while (hasEvicted && activeCount() > maxConnections) {
-            hasEvicted = evictOne();
+            hasEvicted = isUrgent ? evictOneUrgently(readSince) : evictOne();
+        }
+        if (isUrgent) {
+            abortClosing(maxExtraConnections, readSince);
+        } else {
+            abortClosing(Math.min(ACCEPT_HEADROOM, maxExtraConnections), roomMadeMicros - EVICTION_GRACE_WHEN_FULL_MICROS);
         }
-        abortClosing();
     }
 
     /**
@@ -195,14 +209,32 @@
      */
     private boolean evictOne() {
         long readUntil = inputReadUntilMicros();
-        long silentSince = readUntil - (room() > 0 ? EVICTION_GRACE_MICROS : EVICTION_GRACE_WHEN_FULL_MICROS);
+        return evict(readUntil - (room() > 0 ? EVICTION_GRACE_MICROS : EVICTION_GRACE_WHEN_FULL_MICROS),
+            readUntil - EVICTION_GRACE_MICROS, readUntil - EVICTION_GRACE_RECEIVING_MICROS, false);
+    }
+
+    /** Closes the least useful connection in the same order, with no grace for what was open at a time. */
+    private boolean evictOneUrgently(long openSince) {
+        return evict(openSince, openSince, openSince, true);
+    }
+
+    /**
+     * Closes one connection.
+     *
+     * @param silentSince    new connections may be closed if they were opened before
+     * @param stoppedSince   incomplete requests may be refused if nothing has come of them since then
+     * @param receivingSince incomplete requests of which more may be coming may be refused if they began before
+     * @param abortSilent    whether a silent connection is closed without a lingering close
+     * @return whether a connection was closed
+     */
+    private boolean evict(long silentSince, long stoppedSince, long receivingSince, boolean abortSilent) {
         FrontendConnection victim = firstOrNull(unproven);
         victim = victim == null ? firstSilentSince(silent, silentSince) : victim;
-        victim = victim == null ? firstSilentSince(receiving, readUntil - EVICTION_GRACE_MICROS) : victim;
+        victim = victim == null ? firstSilentSince(receiving, stoppedSince) : victim;
         victim = victim == null ? firstOrNull(idle) : victim;
         // Otherwise clients that send a byte now and then could occupy all connections.
-        victim = victim != null ? victim : receiving.stream()
-            .filter(c -> readUntil - c.requestStartMicros() >= EVICTION_GRACE_RECEIVING_MICROS).findFirst().orElse(null);
+        victim = victim != null ? victim
+            : receiving.stream().filter(c -> c.requestStartMicros() <= receivingSince).findFirst().orElse(null);
         if (victim == null) {
             return false;
         }
@@ -210,6 +242,8 @@
         // Sends an answer to a partial request, as its last bytes may be on their way at the close.
         if (receiving.contains(victim)) {
             victim.refuseIncompleteRequest();
+        } else if (abortSilent && silent.contains(victim)) {
+            abort(victim);
         } else {
             victim.close();
         }
@@ -217,20 +251,29 @@
     }
 
     /**
-     * Aborts connections that have been closing for {@link #EVICTION_GRACE_WHEN_FULL_MICROS}, until there is room for new ones.
-     * Otherwise many lingering closes could keep new connections out.
+     * Aborts closing connections until there is room for a number of new ones. Otherwise many lingering closes could keep new
+     * connections out. A connection whose last answer is not yet handed to the system is left alone for
+     * {@link #EVICTION_GRACE_WHEN_FULL_MICROS}.
+     *
+     * @param closingSince only connections whose close began before are aborted
      */
-    private void abortClosing() {
-        int headroom = Math.min(ACCEPT_HEADROOM, maxExtraConnections);
+    private void abortClosing(int headroom, long closingSince) {
         for (FrontendConnection connection : List.copyOf(closing)) {
-            if (room() >= headroom || clock.getAsLong() - connection.closingMicros() < EVICTION_GRACE_WHEN_FULL_MICROS) {
+            if (room() >= headroom || connection.closingMicros() > closingSince) {
                 return;
             }
-            closed(connection);     // counted now, as channelInactive follows later
-            connection.abort();
+            boolean isOverdue = clock.getAsLong() - connection.closingMicros() >= EVICTION_GRACE_WHEN_FULL_MICROS;
+            if (isOverdue || connection.isOutputShutDown()) {
+                abort(connection);
+            }
         }
     }
 
+    private void abort(FrontendConnection connection) {
+        closed(connection);     // counted now, as channelInactive follows later
+        connection.abort();
+    }
+
     /**
      * Returns the first connection that is not receiving in pieces and has been silent since a time; null if there is none.
      *
--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -545,6 +545,11 @@
         });
     }
 
+    /** Whether this side has sent everything, so that the system delivers it even if the connection is aborted. */
+    boolean isOutputShutDown() {
+        return channel.isOutputShutdown();
+    }
+
     /** Returns when the lingering close started; 0 before. */
     long closingMicros() {
         return closingMicros;
--- a/src/test/java/badgermux/it/AcceptQueueIT.java
+++ b/src/test/java/badgermux/it/AcceptQueueIT.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -16,14 +19,23 @@
 class AcceptQueueIT {
     /** How long nothing is accepted. */
     private static final int PAUSE_MILLIS = 400;
+    /** Far more connections than are accepted at once, and fewer than the queue holds. */
+    private static final int CROWD_SIZE = 600;
+    private static final int CLIENT_TIMEOUT_MILLIS = 2000;
+    /** By the protocol an answer is lost if it comes later than this after the client's time. */
+    private static final int LOST_AFTER_MILLIS = 500;
 
     private InProcessDispatcher dispatcher;
+    private final List<Client> crowd = new ArrayList<>();
 
     @BeforeEach void start() throws Exception {
         dispatcher = new InProcessDispatcher();
     }
 
-    @AfterEach void stop() {
+    @AfterEach void stop() throws IOException {
+        for (Client client : crowd) {
+            client.close();
+        }
         dispatcher.close();
     }
 
@@ -71,6 +83,63 @@
         }
     }
 
+    /** Guards against requests that wait behind idle connections until their time is over. */
+    @Test void requestBehindIdleCrowdIsTakenInTime() throws Exception {
+        connectCrowd("");
+        assertNextRequestIsTakenAndAnsweredInTime();
+    }
+
+    /** Guards against the same behind connections that stop in the middle of a request. */
+    @Test void requestBehindHalfSentCrowdIsTakenInTime() throws Exception {
+        connectCrowd("POST /preview HTTP/1.1\r\nHost: x\r\n");
+        assertNextRequestIsTakenAndAnsweredInTime();
+    }
+
+    /** Guards against the same behind connections that bring one byte after the other. */
+    @Test void requestBehindTricklingCrowdIsTakenInTime() throws Exception {
+        Thread trickle = new Thread(() -> {
+            while (!Thread.currentThread().isInterrupted()) {
+                crowd.forEach(AcceptQueueIT::sendOneByte);
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+            }
+        });
+        connectCrowd("POST /preview HTTP/1.1\r\nX-A: ");
+        trickle.start();
+        try {
+            assertNextRequestIsTakenAndAnsweredInTime();
+        } finally {
+            trickle.interrupt();
+            trickle.join();
+        }
+    }
+
+    private static void sendOneByte(Client client) {
+        try {
+            client.send("a");
+        } catch (IOException e) {
+            // expected: the connection was evicted
+        }
+    }
+
+    /** Fills all places and the queue with connections that send this text each. */
+    private void connectCrowd(String text) throws IOException {
+        for (int i = 0; i < CROWD_SIZE; i++) {
+            crowd.add(dispatcher.client().send(text));
+        }
+    }
+
+    private void assertNextRequestIsTakenAndAnsweredInTime() throws Exception {
+        try (Client client = dispatcher.client()) {
+            long sentNanos = System.nanoTime();
+            client.send(Client.request("/preview", CLIENT_TIMEOUT_MILLIS + "m", "", ""));
+            long requestId = dispatcher.awaitRequest();
+            dispatcher.runOnEventLoop(() -> dispatcher.engine.refuse(requestId, 0));
+            assertEquals(503, client.read().status());
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+            assertTrue(millis < CLIENT_TIMEOUT_MILLIS + LOST_AFTER_MILLIS, "answered after " + millis + " ms");
+        }
+    }
+
     private void assertNextRequestHasItsWholeTime(Client client) throws Exception {
         client.send(Client.request("/preview", "2000m", "", ""));
         dispatcher.awaitRequest();
