Hot restart: tell the next process since when clients wait in the socket's queue

Callers saw: a client that connected while no process accepted from the shared socket waited for the next one to start, and its backend was then told the client's whole time.

The next process can't know it by looking, as the wait began under another process.

Change: a process that stops accepting after SIGTERM writes since when clients may wait to $TMPDIR/badgermux-NAME/accept-queue, and waits 200 ms at most at its exit until that is written. Linked processes tell each other in their heartbeat, OPEN, whose new field older builds ignore. A process that begins to accept counts from there. Where nothing is known (SIGKILL, another $TMPDIR), requests that wait at the start are refused with a 503 and no backend is tried: no time that a backend could be told would be safe.

AcceptQueueIT#waitCountsFromTheWordOfTheOtherProcess.

--- a/src/main/java/badgermux/DispatcherProcess.java
+++ b/src/main/java/badgermux/DispatcherProcess.java
@@ -39,7 +39,7 @@
 final class DispatcherProcess {
     /** Buffered request bodies may take the memory limit divided by this: 12 MB of 192 MB. */
     private static final int BODY_MEMORY_DIVISOR = 16;
-    /** How long the shutdown waits for the metrics, and then for the log, to be written. */
+    /** How long the shutdown waits for the metrics, then for the files, and then for the log, to be written. */
     private static final long OUTPUT_TIMEOUT_MILLIS = 200;
 
     private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -184,7 +184,8 @@
             adminService.listen(deadlines, metrics);
         }
         ChannelFuture listening = inherited == null ? frontend.listen(loop, config.listenAddress())
-            : frontend.listen(loop, inherited, console == null || !console.handover().hasPrevious());
+            : frontend.listen(loop, inherited, console == null || !console.handover().hasPrevious(),
+                console == null ? 0 : console.handover().storedQueuedSinceMicros());
         if (console != null) {
             console.attach(discovery, frontend, backends, engine, deadlines, metrics, config.maxDescriptors());
         }
@@ -235,6 +236,9 @@
                 printer.start();
                 printer.join(OUTPUT_TIMEOUT_MILLIS);
             }
+            if (console != null) {
+                console.awaitWritten(OUTPUT_TIMEOUT_MILLIS);
+            }
             AsynchronousWriter.awaitWritten(OUTPUT_TIMEOUT_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -253,6 +257,9 @@
             shutdownComplete.countDown();      // no client has connected, and none can from here on
         } else {
             frontend.drain(signalledAtMicros, this::onDrained);
+            if (console != null) {
+                console.handover().storeQueuedSince();
+            }
         }
     }
 
--- a/src/main/java/badgermux/HandoverCoordinator.java
+++ b/src/main/java/badgermux/HandoverCoordinator.java
@@ -10,6 +10,7 @@
 import badgermux.discovery.DiscoveryClient;
 import badgermux.front.Frontend;
 import badgermux.http.Address;
+import badgermux.upgrade.AcceptQueueFile;
 import badgermux.upgrade.HandoverLink;
 import badgermux.upgrade.HandoverReadiness;
 import badgermux.upgrade.HandoverState;
@@ -42,7 +43,9 @@
  *
  * <p>The next process connects to the console and sends TAKEOVER; the previous one replies with its {@link HandoverState}.
  * Once the next process serves, it sends SERVING; the previous one stops accepting clients and replies with LEFT and its
- * learned state. Both send OPEN, with the number of their open requests, as a heartbeat, and OUT and BACK for cordons.
+ * learned state. Both send OPEN, with the number of their open requests and the Unix time in milliseconds since when clients
+ * may wait in the listening socket's queue (0 if unknown; missing in older versions), as a heartbeat, and OUT and BACK for
+ * cordons.
  */
 final class HandoverCoordinator implements HandoverLink.Listener {
     /** How long a new process waits for the reply to TAKEOVER. */
@@ -59,6 +62,8 @@
     private final Cordons cordons;
     private final String settingsFingerprint;
     private final Path addressFile;
+    /** Null where nothing can be stored. */
+    private final AcceptQueueFile acceptQueueFile;
     private final Executor fileWriter;
     private final HandoverReadiness readiness = new HandoverReadiness();
     /** Authenticates the next process, which reads it from the address file. */
@@ -95,6 +100,7 @@
         this.clock = clock;
         this.cordons = cordons;
         this.addressFile = addressFile;
+        acceptQueueFile = addressFile == null ? null : new AcceptQueueFile(addressFile.getParent());
         this.fileWriter = fileWriter;
     }
 
@@ -137,6 +143,29 @@
         shuttingDown = true;
     }
 
+    /**
+     * Returns since when clients may have waited in the listening socket's queue, as the previous process has left it; 0 if it
+     * has left nothing. Reads a small file; called before anything is served.
+     */
+    long storedQueuedSinceMicros() {
+        return acceptQueueFile == null ? 0 : clock.fromUnixMillis(acceptQueueFile.readMillis());
+    }
+
+    /** Stores the same for the next process, if this one has just stopped accepting from a shared socket. */
+    void storeQueuedSince() {
+        if (acceptQueueFile == null || !frontend.isListenerShared() || nextServes) {
+            return;
+        }
+        long millis = clock.toUnixMillis(frontend.queuedSinceMicros());
+        fileWriter.execute(() -> {
+            try {
+                acceptQueueFile.writeMillis(millis);
+            } catch (IOException e) {
+                Logger.warn("Failed to write since when clients wait for the next process: {}", e.toString());
+            }
+        });
+    }
+
     /** Returns why the previous process must not be stopped yet; null where it may be. */
     String blockedReason() {
         return readiness.blockedReason(clock.nowMicros());
@@ -254,7 +283,7 @@
         }
         for (HandoverLink link : new HandoverLink[] {previousLink, nextLink}) {
             if (link != null) {
-                link.send("OPEN " + engine.openRequestCount());
+                link.send("OPEN " + engine.openRequestCount() + ' ' + clock.toUnixMillis(frontend.queuedSinceMicros()));
             }
         }
         heartbeat = deadlines.scheduleAfter(HandoverLink.HEARTBEAT_MICROS, this::sendHeartbeat);
@@ -285,6 +314,9 @@
                 if (link == previousLink) {
                     readiness.previousReportsOpen(Integer.parseInt(parts[1]));
                 }
+                if (parts.length > 2) {
+                    frontend.otherProcessReportsQueue(clock.fromUnixMillis(Long.parseLong(parts[2])));
+                }
             }
             case "OUT" -> {
                 cordons.cordon(parts[1], clock.nowMicros());
--- a/src/main/java/badgermux/OperatorConsole.java
+++ b/src/main/java/badgermux/OperatorConsole.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
 
@@ -130,6 +131,14 @@
         console.close();
     }
 
+    /** Waits until all files are written, at most for a time. Called when the process exits, not on the event loop. */
+    void awaitWritten(long timeoutMillis) throws InterruptedException {
+        writer.shutdown();
+        if (!writer.awaitTermination(timeoutMillis, TimeUnit.MILLISECONDS)) {
+            Logger.warn("Files were still being written at the exit");
+        }
+    }
+
     // ---- Commands, on the event loop
 
     @Override public String notReadyReason() {
--- a/src/main/java/badgermux/front/AcceptQueue.java
+++ b/src/main/java/badgermux/front/AcceptQueue.java
@@ -7,6 +7,9 @@
  * times, in microseconds.
  */
 final class AcceptQueue {
+    /** An arrival of which nothing is known. */
+    static final long UNKNOWN_MICROS = 0;
+
     private final long capacity;
     /** All connections in the queue have arrived since then; {@link Long#MAX_VALUE} if the queue was empty at the last look. */
     private long arrivedSinceMicros = Long.MAX_VALUE;
@@ -42,18 +45,32 @@
         }
     }
 
+    /**
+     * Another process that accepts from the queue, too, has told a time before which nothing that is still in the queue can have
+     * arrived.
+     */
+    void emptiedByOtherProcess(long micros) {
+        if (arrivedSinceMicros < micros && arrivedSinceMicros != Long.MAX_VALUE) {
+            arrivedSinceMicros = micros;
+            turnoverStartMicros = micros;
+            acceptedSinceTurnoverStart = 0;
+        }
+    }
+
     /**
      * A connection was accepted.
      *
      * @param nowMicros          the time
      * @param inputReadUntilMicros the time up to which input that had arrived has been handled; in the past if the event loop
      *                           has stalled
-     * @return the earliest time at which the connection can have arrived in the queue
+     * @return the earliest time at which the connection can have arrived in the queue, or {@link #UNKNOWN_MICROS}
      */
     long accepted(long nowMicros, long inputReadUntilMicros) {
         unattendedSince(inputReadUntilMicros);
         long arrivalMicros = Math.min(arrivedSinceMicros, inputReadUntilMicros);
-        maxWaitMicros = Math.max(maxWaitMicros, nowMicros - arrivalMicros);
+        if (arrivalMicros != UNKNOWN_MICROS) {
+            maxWaitMicros = Math.max(maxWaitMicros, nowMicros - arrivalMicros);
+        }
         countTurnover(nowMicros);
         return arrivalMicros;
     }
@@ -68,12 +85,21 @@
         }
     }
 
+    /**
+     * Returns a time before which nothing that is in the queue now can have arrived, or {@link #UNKNOWN_MICROS}.
+     *
+     * @param inputReadUntilMicros as for {@link #accepted}
+     */
+    long arrivedSinceMicros(long inputReadUntilMicros) {
+        return Math.min(arrivedSinceMicros, inputReadUntilMicros);
+    }
+
     /** Returns how long a connection that is in the queue now may have waited, in microseconds; 0 if the queue was seen empty. */
     long waitMicros(long nowMicros) {
         return arrivedSinceMicros == Long.MAX_VALUE ? 0 : nowMicros - arrivedSinceMicros;
     }
 
-    /** Returns the longest possible wait of all connections accepted so far, in microseconds. */
+    /** Returns the longest possible wait of all connections of which it was known, in microseconds. */
     long maxWaitMicros() {
         return maxWaitMicros;
     }
--- a/src/main/java/badgermux/front/Acceptor.java
+++ b/src/main/java/badgermux/front/Acceptor.java
@@ -81,11 +81,16 @@
             .option(ChannelOption.SO_REUSEADDR, true).bind(address).addListener(bound -> listener.acceptSoon());
     }
 
-    /** Accepts from a listening socket that other processes hold, too: at once, or once {@link #resume} is called. */
-    ChannelFuture listen(EventLoopGroup loop, ServerSocketChannel socket, boolean startAccepting,
+    /**
+     * Accepts from a listening socket that other processes hold, too.
+     *
+     * @param startAccepting    whether to accept at once; otherwise accepting starts with {@link #resume}
+     * @param queuedSinceMicros since when connections may have waited in the socket's queue; 0 if that is unknown
+     */
+    ChannelFuture listen(EventLoopGroup loop, ServerSocketChannel socket, boolean startAccepting, long queuedSinceMicros,
             ChannelInitializer<SocketChannel> connections) {
         queue = new AcceptQueue(Long.MAX_VALUE);
-        queue.unattendedSince(clock.getAsLong());
+        queue.unattendedSince(queuedSinceMicros);
         listener = new ListenerChannel(socket, this);
         return bootstrap(loop, connections).channelFactory(() -> listener)
             .option(ChannelOption.AUTO_READ, startAccepting).register().addListener(registered -> listener.acceptSoon());
@@ -166,6 +171,21 @@
         listener.acceptSoon();
     }
 
+    /** Returns since when connections may wait in the queue; 0 if that is unknown. */
+    long queuedSinceMicros() {
+        return queue.arrivedSinceMicros(admission.inputReadUntilMicros());
+    }
+
+    /**
+     * Another process that holds the socket, too, has told since when connections may wait in the queue. Only used while this
+     * process does not accept; 0 tells nothing.
+     */
+    void otherProcessReportsQueue(long queuedSinceMicros) {
+        if (!listener.config().isAutoRead() && pauseTimer == null) {
+            queue.emptiedByOtherProcess(queuedSinceMicros);
+        }
+    }
+
     /** Closes the listening socket. */
     void close() {
         listener.close();
--- a/src/main/java/badgermux/front/Frontend.java
+++ b/src/main/java/badgermux/front/Frontend.java
@@ -134,13 +134,16 @@
      * Serves clients of a listening socket that other processes hold, too. The socket is never closed here, because Java
      * would close the standard output with it.
      *
-     * @param startAccepting whether to accept at once; otherwise accepting starts with {@link #cancelHandover}
+     * @param startAccepting    whether to accept at once; otherwise accepting starts with {@link #cancelHandover}
+     * @param queuedSinceMicros since when connections may have waited in the socket's queue; 0 if that is unknown. The time of
+     *                          their requests counts from there, so they are refused if it is unknown
      */
-    public ChannelFuture listen(EventLoopGroup loop, ServerSocketChannel serverSocket, boolean startAccepting) {
+    public ChannelFuture listen(EventLoopGroup loop, ServerSocketChannel serverSocket, boolean startAccepting,
+            long queuedSinceMicros) {
         isListenerShared = true;
         isHandedOver = !startAccepting;
         afterInput = new AfterInputExecutor(loop.next());
-        return acceptor.listen(loop, serverSocket, startAccepting, new ConnectionInitializer());
+        return acceptor.listen(loop, serverSocket, startAccepting, queuedSinceMicros, new ConnectionInitializer());
     }
 
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
@@ -168,6 +171,21 @@
         }
     }
 
+    /** Whether other processes hold the listening socket, too. */
+    public boolean isListenerShared() {
+        return isListenerShared;
+    }
+
+    /** Returns since when connections may wait in the listening socket's queue; 0 if that is unknown. */
+    public long queuedSinceMicros() {
+        return acceptor.queuedSinceMicros();
+    }
+
+    /** The other process of a hot restart has told its {@link #queuedSinceMicros}. */
+    public void otherProcessReportsQueue(long queuedSinceMicros) {
+        acceptor.otherProcessReportsQueue(queuedSinceMicros);
+    }
+
     /** Accepts connections again after {@link #handOver}. */
     public void cancelHandover() {
         if (isHandedOver && !isDraining) {
--- a/src/test/java/badgermux/it/AcceptQueueIT.java
+++ b/src/test/java/badgermux/it/AcceptQueueIT.java
@@ -52,12 +52,9 @@
     @Test void deadlineCountsFromBeforeTheWaitInTheQueue() throws Exception {
         try (Client client = sendIntoQueue("2000m")) {
             long requestId = dispatcher.awaitRequest();
-            long[] remainingMicros = new long[1];
-            dispatcher.runOnEventLoop(() -> {
-                remainingMicros[0] = dispatcher.lastRemainingMicros();
-                dispatcher.engine.refuse(requestId, 0);
-            });
-            assertTrue(remainingMicros[0] < 1_600_000, "0.4 s of 2 s have passed, but " + remainingMicros[0] + " us are left");
+            long remainingMicros = remainingMicros();
+            assertTrue(remainingMicros < 1_600_000, "0.4 s of 2 s have passed, but " + remainingMicros + " us are left");
+            dispatcher.runOnEventLoop(() -> dispatcher.engine.refuse(requestId, 0));
             assertEquals(503, client.read().status());
         }
     }
@@ -70,6 +67,19 @@
         }
     }
 
+    /** The process that has accepted meanwhile says that nobody has waited longer than that: its word is used. */
+    @Test void waitCountsFromTheWordOfTheOtherProcess() throws Exception {
+        dispatcher.runOnEventLoop(dispatcher.frontend::handOver);
+        TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);   // how long the other process accepts
+        dispatcher.runOnEventLoop(() -> dispatcher.frontend.otherProcessReportsQueue(dispatcher.nowMicros()));
+        try (Client client = dispatcher.client()) {
+            client.send(Client.request("/preview", "2000m", "", ""));
+            dispatcher.runOnEventLoop(dispatcher.frontend::cancelHandover);
+            dispatcher.awaitRequest();
+            assertHasWholeTime();
+        }
+    }
+
     /** A wait that is over is not charged to later connections, or to later requests of a connection that has waited. */
     @Test void laterRequestsHaveTheirWholeTime() throws Exception {
         try (Client waited = sendIntoQueue("2000m")) {
@@ -143,8 +153,18 @@
     private void assertNextRequestHasItsWholeTime(Client client) throws Exception {
         client.send(Client.request("/preview", "2000m", "", ""));
         dispatcher.awaitRequest();
+        assertHasWholeTime();
+    }
+
+    private void assertHasWholeTime() throws Exception {
+        long remainingMicros = remainingMicros();
+        assertTrue(remainingMicros > 1_700_000, "only " + remainingMicros + " us of 2 s are left");
+    }
+
+    /** Returns the time that the last request had left when the policy received it. */
+    private long remainingMicros() throws Exception {
         long[] remainingMicros = new long[1];
         dispatcher.runOnEventLoop(() -> remainingMicros[0] = dispatcher.lastRemainingMicros());
-        assertTrue(remainingMicros[0] > 1_700_000, "only " + remainingMicros[0] + " us of 2 s are left");
+        return remainingMicros[0];
     }
 }
