ClientConnections: make room after a failed accept, too

Callers saw: where the system allows fewer descriptors than the configuration says, a request on a new connection had no answer in 10 s behind 300 idle connections.

Cause: a failed accept paused accepting, but connections were closed only while more than the configured limit were open. With fewer descriptors than that the limit is never reached, so each place was held until its silence of 2 s ended.

Change: after a failed accept, 16 connections fewer than were open then are left, in the usual order of eviction, and closing connections are aborted down to there.

Tests: DescriptorLimitIT#answersRequestBehindIdleCrowdWithoutFreeDescriptors with 48 descriptors fails before. All of DescriptorLimitIT, AcceptQueueIT, EventOrderIT and SlowClientsIT pass.

--- a/src/main/java/badgermux/front/Acceptor.java
+++ b/src/main/java/badgermux/front/Acceptor.java
@@ -31,9 +31,10 @@
         /**
          * Closes connections to make room; called after a pause.
          *
-         * @param isUrgent whether connections may have waited in the queue for so long that their requests are at risk
+         * @param isUrgent  whether connections may have waited in the queue for so long that their requests are at risk
+         * @param hasFailed whether an accept has failed although there was room
          */
-        void makeRoom(boolean isUrgent);
+        void makeRoom(boolean isUrgent, boolean hasFailed);
 
         /** Returns the time up to which input that had arrived has been read, in microseconds. */
         long inputReadUntilMicros();
@@ -61,6 +62,8 @@
     private AcceptQueue queue;
     /** Ends a pause; null if there is none. */
     private Deadlines.Deadline pauseTimer;
+    /** Whether an accept has failed since the last pause. */
+    private boolean hasFailed;
 
     /** Creates an acceptor that does not listen yet. */
     Acceptor(LongSupplier clock, Deadlines deadlines, Metrics metrics, Admission admission) {
@@ -125,6 +128,7 @@
 
     private void onAcceptFailed() {
         metrics.increment(Count.ACCEPT_FAILURES);
+        hasFailed = true;
         pause();
     }
 
@@ -140,7 +144,8 @@
 
     /** Accepts again, or pauses once more if no room can be made. */
     private void endPause() {
-        admission.makeRoom(queue.waitMicros(clock.getAsLong()) > URGENT_WAIT_MICROS);
+        admission.makeRoom(queue.waitMicros(clock.getAsLong()) > URGENT_WAIT_MICROS, hasFailed);
+        hasFailed = false;
         if (admission.room() > 0) {
             resume();
         } else {
--- a/src/main/java/badgermux/front/ClientConnections.java
+++ b/src/main/java/badgermux/front/ClientConnections.java
@@ -18,7 +18,7 @@
     static final long EVICTION_GRACE_WHEN_FULL_MICROS = 60_000;
     /** A connection that is still receiving a request this long after its start may be evicted if no other can be. */
     static final long EVICTION_GRACE_RECEIVING_MICROS = 3_000_000;
-    /** After a pause of accepting, closing connections are aborted until there is room for this number of new ones. */
+    /** Places for new connections that are made at least, after a pause and after a failed accept. */
     private static final int ACCEPT_HEADROOM = 16;
 
     private final LongSupplier clock;
@@ -180,22 +180,25 @@
     }
 
     /**
-     * Closes connections until only as many are left as are served at once, if so many may be closed. If it is urgent, the
-     * spans of silence are not waited for: a connection may be closed once its input has been read in a round of the event
-     * loop, as the connections that wait may have brought whole requests.
+     * Closes connections until only as many are left as are served at once, if so many may be closed. If an accept has failed,
+     * the system allows fewer descriptors, and fewer than now are left. If it is urgent, the spans of silence are not waited
+     * for: a connection may be closed once its input has been read in a round of the event loop, as the connections that wait
+     * may have brought whole requests.
      */
-    @Override public void makeRoom(boolean isUrgent) {
+    @Override public void makeRoom(boolean isUrgent, boolean hasFailed) {
         // What was open when room was made last has been read since: the event loop reads between two deadlines.
         long readSince = roomMadeMicros;
         roomMadeMicros = clock.getAsLong();
+        int limit = hasFailed ? Math.min(maxConnections, open.size() - ACCEPT_HEADROOM) : maxConnections;
         boolean hasEvicted = true;
-        while (hasEvicted && activeCount() > maxConnections) {
+        while (hasEvicted && activeCount() > limit) {
             hasEvicted = isUrgent ? evictOneUrgently(readSince) : evictOne();
         }
-        if (isUrgent) {
-            abortClosing(maxExtraConnections, readSince);
+        if (isUrgent || hasFailed) {
+            abortClosing(limit, readSince);
         } else {
-            abortClosing(Math.min(ACCEPT_HEADROOM, maxExtraConnections), roomMadeMicros - EVICTION_GRACE_WHEN_FULL_MICROS);
+            abortClosing(maxConnections + maxExtraConnections - Math.min(ACCEPT_HEADROOM, maxExtraConnections),
+                roomMadeMicros - EVICTION_GRACE_WHEN_FULL_MICROS);
         }
     }
 
@@ -251,15 +254,15 @@
     }
 
     /**
-     * Aborts closing connections until there is room for a number of new ones. Otherwise many lingering closes could keep new
+     * Aborts closing connections until no more than a number are open. Otherwise many lingering closes could keep new
      * connections out. A connection whose last answer is not yet handed to the system is left alone for
      * {@link #EVICTION_GRACE_WHEN_FULL_MICROS}.
      *
      * @param closingSince only connections whose close began before are aborted
      */
-    private void abortClosing(int headroom, long closingSince) {
+    private void abortClosing(int limit, long closingSince) {
         for (FrontendConnection connection : List.copyOf(closing)) {
-            if (room() >= headroom || connection.closingMicros() > closingSince) {
+            if (open.size() <= limit || connection.closingMicros() > closingSince) {
                 return;
             }
             boolean isOverdue = clock.getAsLong() - connection.closingMicros() >= EVICTION_GRACE_WHEN_FULL_MICROS;
--- a/src/test/java/badgermux/it/DescriptorLimitIT.java
+++ b/src/test/java/badgermux/it/DescriptorLimitIT.java
@@ -35,7 +35,12 @@
     private static final int CLIENTS_WITH_REQUESTS = 40;
     /** Fewer than the descriptor budget of {@link #DESCRIPTORS} uses. */
     private static final int INSUFFICIENT_DESCRIPTORS = 100;
+    /** Fewer than the limit of client connections needs. */
+    private static final int DESCRIPTORS_BELOW_CLIENT_LIMIT = 48;
     private static final int CONSOLE_CALLS = 20;
+    private static final int CLIENT_TIMEOUT_MILLIS = 2_000;
+    /** By the protocol an answer is lost if it comes later than this after the client's time. */
+    private static final int LOST_AFTER_MILLIS = 500;
     /** The result that the added backend responds with. */
     private static final String JOINED_RESULT = "joined";
     /** Failed calls to discovery after which the connections are taken to hold all descriptors that they can get. */
@@ -202,4 +207,26 @@
         assertEquals(discovery.callCount(Mode.RESET), program.counterValue("director_failures"),
             "lack of a descriptor is not a failed call");
     }
+
+    /** Guards against requests that wait behind idle connections until their time is over, as each accept fails. */
+    @Test void answersRequestBehindIdleCrowdWithoutFreeDescriptors() throws Exception {
+        startProgram(DESCRIPTORS_BELOW_CLIENT_LIMIT);
+        Await.until("the first list", () -> program.callConsole("HEALTH").startsWith("200"));
+        List<Client> crowd = new ArrayList<>();
+        for (int i = 0; i < 2 * IDLE_CLIENTS; i++) {
+            crowd.add(program.client());
+        }
+        startRepeating(1, () -> drainedBackend.answerAll("r"));
+        try (Client client = program.client()) {
+            long sentNanos = System.nanoTime();
+            client.send(Client.request("/preview", CLIENT_TIMEOUT_MILLIS + "m", "", ""));
+            int status = client.read().status();
+            long millis = (System.nanoTime() - sentNanos) / 1_000_000;
+            assertTrue(millis < CLIENT_TIMEOUT_MILLIS + LOST_AFTER_MILLIS, "answered " + status + " after " + millis + " ms");
+        }
+        assertTrue(program.counterValue("accept_failures") > 0, "the limit is reached");
+        for (Client client : crowd) {
+            client.close();
+        }
+    }
 }
