AttemptExchange: reuse a connection after a result only

Cause: onResponseEnded put the connection of every complete 200 answer back into the pool, also of one that turned the attempt away. The request's next attempt went out on the same connection; the runner's answer came a second time, 5 ms late, and was taken for that attempt's, as the id is the same.

Change: a connection is released for SERVED only and closed behind every other outcome. Other answers than 200, and those whose end comes in a later read, closed it already.

EventOrderIT, ServeIT and AcceptQueueRestartIT pass.

--- a/src/main/java/badgermux/backend/AttemptExchange.java
+++ b/src/main/java/badgermux/backend/AttemptExchange.java
@@ -141,15 +141,13 @@
         }
     }
 
+    /**
+     * Reuses the connection for a result only. Another attempt may follow all other outcomes, and a backend may give such an
+     * answer twice: the second would end the next attempt on this connection, whose id is the same if its request is, while
+     * the backend runs it.
+     */
     @Override public void onResponseEnded() {
         client.cancel(responseEndTimeout);
-        if (hasResultLines) {
-            client.releaseConnection(pooledConnection);
-        } else {
-            // A backend may send such a response twice. It has no id, so the second would end the next request on this
-            // connection; with X-Not-Processed it would even have a running request sent again.
-            pooledConnection.connection.close();
-        }
         if (outcome == null && hasResultLines) {
             for (byte[] line : lineSplitter.remainder()) {
                 try {
@@ -159,6 +157,11 @@
                 }
             }
         }
+        if (outcome == Outcome.SERVED) {
+            client.releaseConnection(pooledConnection);
+        } else {
+            pooledConnection.connection.close();
+        }
         reportOutcome(outcome == null ? Outcome.RESET : outcome);
     }
 
--- a/src/test/java/badgermux/it/EventOrderIT.java
+++ b/src/test/java/badgermux/it/EventOrderIT.java
@@ -430,6 +430,25 @@
         otherBackend.close();
     }
 
+    /**
+     * Guards against a request that is refused while a backend runs it: a backend gives the answer by which it turns an attempt
+     * away a second time, late. The next attempt has the same id, so on the same connection that would be taken for its answer.
+     */
+    @Test void lateSecondRejectionDoesNotEndNextAttempt() throws Exception {
+        dispatcher.sendToBackendId = 1;
+        dispatcher.retryBackendId = () -> 1L;
+        dispatcher.runOnEventLoop(dispatcher::submitWithoutClient);
+        FakeServer.Exchange rejected = backend.take();
+        String rejection = rejected.responseWithLine("returned");
+        rejected.send(rejection);
+        FakeServer.Exchange retried = backend.take();
+        retried.sendStarted();
+        rejected.send(rejection);
+        retried.sendLine("done", ",\"result\":\"r\"").endResponse();
+        Await.until("the retry is served", () -> dispatcher.hasPolicyEvent("SERVED settled"));
+        dispatcher.runOnEventLoop(() -> assertEquals(List.of("REJECTED", "SERVED settled"), dispatcher.policyEvents));
+    }
+
     /**
      * A backend might send a second response after a failed probe. It has no id, so on a connection that stayed in use it would
      * be taken for the response to the next request there.
--- a/src/test/java/badgermux/it/FakeServer.java
+++ b/src/test/java/badgermux/it/FakeServer.java
@@ -68,9 +68,18 @@
          * @param moreMembers further members of the JSON object, each with a comma before it; may be empty
          */
         Exchange sendLine(String state, String moreMembers) throws IOException {
+            return send(chunk(state, moreMembers));
+        }
+
+        private String chunk(String state, String moreMembers) {
             String line = "{\"id\":\"" + header("X-Request-ID") + "\",\"from\":\"s\",\"state\":\"" + state + "\"" + moreMembers
                 + "}\n";
-            return send(Integer.toHexString(line.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + line + "\r\n");
+            return Integer.toHexString(line.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + line + "\r\n";
+        }
+
+        /** Returns a whole chunked response with one line, to be sent in one piece. */
+        String responseWithLine(String state) {
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(state, "") + "0\r\n\r\n";
         }
 
         /** Sends the last chunk. */
