FakeDiscovery: keep the port while the stand-in refuses connections

Cause: in the mode REFUSED the stand-in closed its listening socket and bound the port anew seconds later.

Change: a second socket is bound to the port from the start and never listens. The system gives the port to nobody else, and connections are refused while nothing listens.

Other tests that start a process again on its port were not changed.

--- a/src/test/java/badgermux/it/FakeDiscovery.java
+++ b/src/test/java/badgermux/it/FakeDiscovery.java
@@ -59,6 +59,8 @@
     private static final long BYTE_INTERVAL_MILLIS = 20;
 
     private final int port;
+    /** Bound to the port and never listening: keeps the port from others, and connections are refused, while nothing listens. */
+    private final Socket portHolder = new Socket();
     private final List<RecordedCall> recordedCalls = new ArrayList<>();
     private final List<Socket> openSockets = new ArrayList<>();
     private final List<Socket> backlogFillers = new ArrayList<>();
@@ -72,8 +74,10 @@
     private long refusalDelayMillis;
 
     FakeDiscovery() throws IOException {
-        listen(0, BACKLOG);
-        port = serverSocket.getLocalPort();
+        portHolder.setReuseAddress(true);
+        portHolder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        port = portHolder.getLocalPort();
+        listen(port, BACKLOG);
     }
 
     /** Returns its address as HOST:PORT. */
@@ -310,6 +314,7 @@
 
     @Override public synchronized void close() throws IOException {
         serverSocket.close();
+        portHolder.close();
         for (Socket socket : openSockets) {
             socket.close();
         }
