FrontendConnection: count the wait in the queue for what was in the queue only

With a client that had connected early, waited to be accepted, and sent its request later was charged the whole time since it connected: "only 1342943 us of 2 s are left" in the new test.

Cause: the first input of a connection was taken to have arrived with the connection, whenever it was read.

Change: only what is read until the first round of input after the accept is over may have waited in the queue; what is read later has arrived later. A wait under 1 ms is not counted.

AcceptQueueIT, AcceptQueueRestartIT, EventOrderIT, HotRestartIT and DeadlinesTest pass.

--- a/src/main/java/badgermux/core/Deadlines.java
+++ b/src/main/java/badgermux/core/Deadlines.java
@@ -68,6 +68,14 @@
         return deadline;
     }
 
+    /**
+     * Schedules a task behind the next round of input, in which all input is read that has arrived by now. Called from a task
+     * of the event loop; while input is read, the round would be the current one.
+     */
+    public void scheduleAfterNextRound(Runnable task) {
+        scheduleAfter(NEXT_ROUND_DELAY_MICROS, task);
+    }
+
     /** Cancels a deadline; does nothing if it is null or has run. */
     public void cancel(Deadline deadline) {
         if (deadline != null) {
@@ -104,7 +112,7 @@
     /** Records a stall until the next round of input is over, in which the input that arrived during the stall is read. */
     private void recordStall(long now) {
         stalledSince = Math.min(stalledSince, pending.first().dueAt);
-        scheduleAt(now + NEXT_ROUND_DELAY_MICROS, () -> stalledSince = Long.MAX_VALUE);
+        scheduleAfterNextRound(() -> stalledSince = Long.MAX_VALUE);
     }
 
     /** Runs one task. An exception or error in it, such as a stack overflow, must not prevent later deadlines from running. */
--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -36,6 +36,8 @@
      * left for the disconnect to reach this process.
      */
     static final long LATE_ACCEPT_WAIT_MICROS = 50_000;
+    /** A wait to be accepted that needs no account: less than a round of the event loop takes. */
+    private static final long NEGLIGIBLE_WAIT_MICROS = 1_000;
     /** How long a closing connection is still read after this side has been shut down. */
     static final long LINGER_MICROS = 500_000;
     /** How many bytes are read from a closing connection before it is aborted. */
@@ -86,7 +88,8 @@
      * if the connection waited to be accepted.
      */
     private long arrivalMicros;
-    private boolean hasRead;
+    /** Whether input that is read now may have arrived while the connection waited to be accepted. */
+    private boolean mayReadQueuedInput;
     /** Whether the connection waited to be accepted, so that the client of its first request may have disconnected. */
     private boolean wasAcceptedLate;
     private ChannelFuture lastWrite;
@@ -144,6 +147,11 @@
     @Override public void channelActive(ChannelHandlerContext ctx) {
         readTimeout = frontend.deadlines().scheduleAfter(READ_TIMEOUT_MICROS, this::readTimedOut);
         wasAcceptedLate = frontend.connections().isAtLimit() || openedMicros - earliestArrivalMicros > LATE_ACCEPT_WAIT_MICROS;
+        if (openedMicros - earliestArrivalMicros > NEGLIGIBLE_WAIT_MICROS) {
+            mayReadQueuedInput = true;
+            channel.eventLoop().execute(
+                () -> frontend.deadlines().scheduleAfterNextRound(() -> mayReadQueuedInput = false));
+        }
         lastWrite = channel.newSucceededFuture();
         frontend.connectionOpened(this);
     }
@@ -168,9 +176,8 @@
         lastReadMicros = now;
         // The client's deadline counts from its last byte, which may have arrived before this read.
         arrivalMicros = frontend.connections().inputReadUntilMicros();
-        if (!hasRead) {
+        if (mayReadQueuedInput) {
             arrivalMicros = Math.min(arrivalMicros, earliestArrivalMicros);
-            hasRead = true;
         }
         unreadInput.discardReadBytes().writeBytes(in);
         in.release();
--- a/src/test/java/badgermux/it/AcceptQueueIT.java
+++ b/src/test/java/badgermux/it/AcceptQueueIT.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
@@ -80,6 +81,20 @@
         }
     }
 
+    /** Guards against a client that connects early: what it sends after the connection was accepted has not waited. */
+    @Test void requestThatIsSentAfterTheWaitHasItsWholeTime() throws Exception {
+        dispatcher.runOnEventLoop(dispatcher.frontend::handOver);
+        try (Client client = dispatcher.client()) {
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);   // how long the connection waits
+            dispatcher.runOnEventLoop(dispatcher.frontend::cancelHandover);
+            Await.until("the connection is accepted", () -> dispatcher.clientConnections() == 1);
+            CountDownLatch inputRead = new CountDownLatch(1);
+            dispatcher.runOnEventLoop(() -> dispatcher.deadlines.scheduleAfterNextRound(inputRead::countDown));
+            inputRead.await();
+            assertNextRequestHasItsWholeTime(client);
+        }
+    }
+
     /** A wait that is over is not charged to later connections, or to later requests of a connection that has waited. */
     @Test void laterRequestsHaveTheirWholeTime() throws Exception {
         try (Client waited = sendIntoQueue("2000m")) {
