Acceptor: accept only after the event loop has selected again

Callers saw: nothing yet.

Cause, by reading, not by a trace: behind a pause, connections were closed to make room and new ones accepted in the same round. A socket that is registered with a selector keeps its descriptor until the next select, so for a moment up to 16 more were held than the limits allow.

Change: nothing is accepted in a task any more. That the queue is empty is noted if a whole round of input finds nothing to accept.

--- a/src/main/java/badgermux/front/Acceptor.java
+++ b/src/main/java/badgermux/front/Acceptor.java
@@ -64,6 +64,8 @@
     private Deadlines.Deadline pauseTimer;
     /** Whether an accept has failed since the last pause. */
     private boolean hasFailed;
+    /** How often the event loop has found the listening socket ready to accept. */
+    private long lookCount;
 
     /** Creates an acceptor that does not listen yet. */
     Acceptor(LongSupplier clock, Deadlines deadlines, Metrics metrics, Admission admission) {
@@ -81,7 +83,7 @@
         queue.unattendedSince(clock.getAsLong());
         listener = new ListenerChannel(this);
         return bootstrap(loop, connections).channelFactory(() -> listener).option(ChannelOption.SO_BACKLOG, QUEUE_CAPACITY)
-            .option(ChannelOption.SO_REUSEADDR, true).bind(address).addListener(bound -> listener.acceptSoon());
+            .option(ChannelOption.SO_REUSEADDR, true).bind(address).addListener(bound -> checkWhetherEmpty());
     }
 
     /**
@@ -96,7 +98,7 @@
         queue.unattendedSince(queuedSinceMicros);
         listener = new ListenerChannel(socket, this);
         return bootstrap(loop, connections).channelFactory(() -> listener)
-            .option(ChannelOption.AUTO_READ, startAccepting).register().addListener(registered -> listener.acceptSoon());
+            .option(ChannelOption.AUTO_READ, startAccepting).register().addListener(registered -> checkWhetherEmpty());
     }
 
     private ServerBootstrap bootstrap(EventLoopGroup loop, ChannelInitializer<SocketChannel> connections) {
@@ -111,6 +113,7 @@
     }
 
     @Override public int room(int pendingCount) {
+        lookCount++;
         return admission.room() - pendingCount;
     }
 
@@ -173,7 +176,22 @@
         deadlines.cancel(pauseTimer);
         pauseTimer = null;
         listener.config().setAutoRead(true);
-        listener.acceptSoon();
+        checkWhetherEmpty();
+    }
+
+    /**
+     * Notes that the queue is empty if the next round of input finds nothing to accept. Nothing is accepted here: connections
+     * that were closed in this round hold their descriptors until the event loop selects again.
+     */
+    private void checkWhetherEmpty() {
+        listener.eventLoop().execute(() -> {
+            long lookCountBefore = lookCount;
+            deadlines.scheduleAfterNextRound(() -> {
+                if (lookCount == lookCountBefore && listener.config().isAutoRead()) {
+                    queue.seenEmpty();
+                }
+            });
+        });
     }
 
     /** Returns since when connections may wait in the queue; 0 if that is unknown. */
--- a/src/main/java/badgermux/front/ListenerChannel.java
+++ b/src/main/java/badgermux/front/ListenerChannel.java
@@ -43,18 +43,6 @@
         this.observer = observer;
     }
 
-    /**
-     * Accepts what waits in the queue in a task of its own, so that it is known when the queue is empty: the event loop looks
-     * into a queue only once a connection has arrived.
-     */
-    void acceptSoon() {
-        eventLoop().execute(() -> {
-            if (isActive() && config().isAutoRead()) {
-                unsafe().read();
-            }
-        });
-    }
-
     @Override protected int doReadMessages(List<Object> acceptedChannels) throws Exception {
         if (observer.room(acceptedChannels.size()) <= 0) {
             observer.onNoRoom();
