--- a/review/src-2/Stand.java
+++ b/review/src-2/Stand.java
@@ -485,7 +485,8 @@
         job.sentAt = now();
         try (Socket socket = connect(port, 3000)) {
             socket.setSoTimeout(500);
-            socket.getOutputStream().write(request(job.id, className, timeoutMillis, "", body).getBytes(
+            socket.getOutputStream().write(request(job.id, className, timeoutMillis, body.startsWith("{")
+                ? "Content-Type: application/json\r\n" : "", body).getBytes(
                 StandardCharsets.ISO_8859_1));
             job.sentAt = now();
             read(socket, job);
