--- a/review/src-2/Case8.java
+++ b/review/src-2/Case8.java
@@ -1,15 +1,11 @@
-import java.io.OutputStream;
-import java.net.Socket;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 
-/** A client sends two commands at once while idle clients fill the descriptors, and goes; its second command is sent again. */
+/** With a description in force, web front ends begin to send longer articles, with a fault at the end of the text. */
 public final class Case8 {
-    /** After a client's close, attempts may begin for 0.1 s, and each limit is longer by 0.05 s. */
-    private static final long GONE_LIMIT_MILLIS = 150;
-    private static final int IDLE_CLIENTS = 420;
-    private static final int ROUNDS = 16;
+    private static final int KINDS_OF_BLOCKS = 40;
+    private static final int TEXT_BYTES = 55_000;
 
     public static void main(String[] args) {
         Stand.main(args, Case8::run);
@@ -19,60 +15,49 @@
         List<Stand.Runner> runners = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
             runners.add(stand.new Runner("s-" + i, i % 2 == 0 ? "hanoi" : "danang", i % 3 == 0 ? "old-4core" : "new-4core", 4,
-                (runner, request, out) -> handBack(stand, runner, request, out)));
+                Stand.sound(600, 2_000)));
         }
-        Stand.Dispatcher dispatcher =
-            stand.new Dispatcher("n1", stand.new Discovery(runners), Stand.settings(2), false).awaitReady();
-        Stand.sleep(3_000);
-        if (stand.trouble) {
-            for (int i = 0; i < IDLE_CLIENTS; i++) {
-                Stand.start(() -> {
-                    while (true) {
-                        try (Socket socket = Stand.connect(dispatcher.port, 2_000)) {
-                            socket.getInputStream().read();     // says nothing, and comes again when it is closed
-                        } catch (java.io.IOException e) {
-                            // closed by the dispatcher, to make room
-                        }
-                        Stand.sleep(20);
-                    }
-                });
-            }
-            Stand.sleep(1_000);
+        int admin = Stand.freePort();
+        Upgrade platform = new Upgrade(stand, stand.new Discovery(runners), Stand.settings(2));
+        Upgrade.Instance dispatcher = platform.new Instance(" --admin " + Stand.HOST + ':' + admin).awaitReady();
+        String answer = Case10.admin(admin, "PUT", "/v1/contracts/articles", "", description());
+        stand.note("description: " + answer.replaceAll("\\s+", " "));
+        if (!answer.startsWith("201")) {
+            throw new IOException("the description was not taken: " + answer);
         }
-        List<String> broken = new CopyOnWriteArrayList<>();
-        for (int round = 0; round < ROUNDS; round++) {
-            String first = Stand.nextId();
-            String second = Stand.nextId();
-            try (Socket socket = Stand.connect(dispatcher.port, 2_000)) {
-                socket.getOutputStream().write((Stand.request(first, "preview", 150, "", "")
-                    + Stand.request(second, "epaper-page", 25_000, "", "")).getBytes());
-                Stand.sleep(150);
-            }
-            long closedAt = stand.now();
-            Stand.sleep(1_000);
-            List<String> runs = stand.runs.getOrDefault(second, List.of());
-            stand.note("client " + round + ": commands " + first + " (timeout 150 ms) and " + second + ", gone at " + closedAt
-                + "; attempts of the first " + stand.runs.getOrDefault(first, List.of()) + ", of the second " + runs);
-            for (String run : runs) {
-                long begunAt = Long.parseLong(run.substring(run.indexOf('@') + 1));
-                if (begunAt > closedAt + GONE_LIMIT_MILLIS) {
-                    broken.add(second + " at " + run + ", " + (begunAt - closedAt) + " ms after its client has gone");
-                    stand.note("BROKEN " + broken.get(broken.size() - 1));
-                }
-            }
+        GoodClients clients = new GoodClients(stand);
+        long begin = stand.now();
+        for (long next = begin; next < begin + 40_000; next += 40) {
+            Stand.sleep(next - stand.now());
+            boolean isLong = stand.trouble && next >= begin + 3_000;
+            String text = isLong ? "rain and wind ".repeat(TEXT_BYTES / 14) + '<' : "rain <";
+            clients.call(platform.port, "preview", 10_000, "{\"blocks\":[{\"kind\":\"block39\",\"text\":\"" + text + "\"}]}");
         }
-        return broken.isEmpty() ? null : broken.size() + " attempts, the first: " + broken.get(0);
+        List<Stand.Job> jobs = clients.await(15_000);
+        dispatcher.copyLog();
+        long lost = jobs.stream().filter(Stand.Job::isLost).count();
+        return lost == 0 ? null : lost + " of " + jobs.size() + " requests got no answer until half a second after their time";
     }
 
-    /** Takes a job and, the first time, hands it back unstarted after 0.6 s, as a runner does whose queue it must leave. */
-    private static boolean handBack(Stand stand, Stand.Runner runner, Stand.Message request, OutputStream out) throws Exception {
-        if (stand.runs.get(request.header("X-Request-ID")).size() > 1) {
-            return Stand.sound(800, 2_000).handle(runner, request, out);
+    /** An article is a list of blocks; each kind of block has a text with some marks in it. */
+    private static String description() {
+        StringBuilder kinds = new StringBuilder();
+        for (int i = 0; i < KINDS_OF_BLOCKS; i++) {
+            kinds.append(i == 0 ? "" : ", ").append("{type: object, required: [kind, text], properties: {kind: {const: block")
+                .append(i).append("}, text: {type: string, pattern: '^([^<>&]|<(b|i|u|em|strong)>|</(b|i|u|em|strong)>|&[a-z]+;)*$'}}}");
         }
-        Stand.sleep(600);
-        out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
-        out.write(Stand.chunk(Stand.line(request, runner, "\"state\":\"returned\"")));
-        out.write("0\r\n\r\n".getBytes());
-        return true;
+        return """
+            openapi: 3.1.0
+            info: {title: articles, version: 1.0.0}
+            paths:
+              /preview:
+                post:
+                  requestBody:
+                    required: true
+                    content:
+                      application/json:
+                        schema: {type: object, required: [blocks], properties: {blocks: {type: array, items: {oneOf: [KINDS]}}}}
+                  responses: {'200': {description: the preview}}
+            """.replace("KINDS", kinds);
     }
 }
