ClientRequest: each request keeps its own ids, so that a disconnect ends the open one

Cause: a connection stored the engine's id of "the current request" in one field. Where the engine refused the first request inside of submit, the answer started the second one in the same call; then the outer call returned and stored the first id over the second. At the close the engine was told of a request that had ended.

Evidence: the new test holds the first request in its validation, refuses it and closes the connection.

Change: a request is an object, the engine's listener and the validator's callback, with its own ids and one end.

--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -1,15 +1,11 @@
 package badgermux.front;
 
 import badgermux.core.Deadlines;
-import badgermux.core.ResponseListener;
-import badgermux.http.ForwardedRequest;
 import badgermux.http.InvalidMessageException;
 import badgermux.http.MessageEncoder;
 import badgermux.http.MessageHead;
 import badgermux.http.MessageReader;
-import badgermux.http.ResponseContract;
 import badgermux.metrics.Metrics.Count;
-import badgermux.metrics.Metrics.Ending;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -17,25 +13,18 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.tinylog.Logger;
 
 /** A client's connection. Serves one request at a time and gives each its final answer. */
-final class FrontendConnection extends ChannelInboundHandlerAdapter implements MessageReader.Listener, ResponseListener {
+final class FrontendConnection extends ChannelInboundHandlerAdapter implements MessageReader.Listener {
     /** How long a connection may be silent before its first request or within a request. */
     static final long READ_TIMEOUT_MICROS = 2_000_000;
     /** How long a request may take from its first byte to its last. */
     static final long REQUEST_READ_TIMEOUT_MICROS = 8_000_000;
     /** Bytes of a request that come this long after the previous ones were sent separately: the client is still sending. */
     private static final long SEPARATE_SEND_GAP_MICROS = 20_000;
-    /**
-     * How long to wait for the client's disconnect before a request is submitted whose connection waited to be accepted.
-     * No attempt may begin later than 0.1 s after the client has disconnected. Half of that is waited here; the other half is
-     * left for the disconnect to reach this process.
-     */
-    static final long LATE_ACCEPT_WAIT_MICROS = 50_000;
     /** A wait to be accepted that needs no account: less than a round of the event loop takes. */
     private static final long NEGLIGIBLE_WAIT_MICROS = 1_000;
     /** How long a closing connection is still read after this side has been shut down. */
@@ -47,22 +36,6 @@
     /** How many bytes may follow a queued request: clients send one request at a time. */
     static final int MAX_PIPELINED_BYTES = 1 << 20;
 
-    /** A request that is being received, is queued behind an unanswered one, or is being served. */
-    private static final class IncomingRequest {
-        private final long startMicros;
-        /** The earliest time at which its last byte can have arrived; deadlines count from there. */
-        private long completeMicros;
-        private MessageHead head;
-        private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-        private int reservedBytes;
-        /** Whether there was no memory for the body. */
-        private boolean isBodyDropped;
-
-        IncomingRequest(long startMicros) {
-            this.startMicros = startMicros;
-        }
-    }
-
     private final Frontend frontend;
     private final SocketChannel channel;
     private final MessageReader reader = new MessageReader(false, MessageReader.MAX_BODY_BYTES, this);
@@ -71,17 +44,12 @@
     /** The earliest time at which the connection can have arrived in the listening socket's queue. */
     private final long earliestArrivalMicros;
     /** Null if no part of a request has been received. */
-    private IncomingRequest receivingRequest;
+    private ClientRequest receivingRequest;
     /** The complete request behind the current one; null if there is none. */
-    private IncomingRequest queuedRequest;
+    private ClientRequest queuedRequest;
     /** The request that is being served; null if there is none. */
-    private IncomingRequest currentRequest;
+    private ClientRequest currentRequest;
     private Deadlines.Deadline readTimeout;
-    private String openRequestId;
-    /** Null if the response is not validated. */
-    private ResponseContract responseContract;
-    /** The engine's id of the current request; 0 if it has not been submitted or is answered. */
-    private long engineRequestId;
     private long lastReadMicros;
     /**
      * The earliest time at which the last input can have arrived: before {@link #lastReadMicros} if the event loop stalled, or
@@ -98,7 +66,6 @@
     private long closingMicros;
     private int pipelinedBytes;
     private boolean hasSentRequest;
-    private boolean isAwaitingAnswer;
     private boolean isProcessing;
     private boolean keepAlive = true;
     private boolean isClosing;
@@ -131,7 +98,7 @@
 
     /** Returns when the first byte of the partial request was read; without one, {@link #lastReadMicros()}. */
     long requestStartMicros() {
-        return receivingRequest == null ? lastReadMicros : receivingRequest.startMicros;
+        return receivingRequest == null ? lastReadMicros : receivingRequest.startMicros();
     }
 
     /** Whether the partial request has come in separate pieces, so that its client is still sending. */
@@ -146,7 +113,7 @@
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
         readTimeout = frontend.deadlines().scheduleAfter(READ_TIMEOUT_MICROS, this::readTimedOut);
-        wasAcceptedLate = frontend.connections().isAtLimit() || openedMicros - earliestArrivalMicros > LATE_ACCEPT_WAIT_MICROS;
+        wasAcceptedLate = frontend.connections().isAtLimit() || openedMicros - earliestArrivalMicros > ClientRequest.LATE_ACCEPT_WAIT_MICROS;
         if (openedMicros - earliestArrivalMicros > NEGLIGIBLE_WAIT_MICROS) {
             mayReadQueuedInput = true;
             channel.eventLoop().execute(
@@ -196,11 +163,10 @@
         isProcessing = true;
         try {
             while (!isClosed && !isClosing && keepAlive
-                    && (queuedRequest != null && !isAwaitingAnswer || unreadInput.isReadable())) {
-                if (queuedRequest != null && !isAwaitingAnswer) {
+                    && (queuedRequest != null && currentRequest == null || unreadInput.isReadable())) {
+                if (queuedRequest != null && currentRequest == null) {
                     currentRequest = queuedRequest;
                     queuedRequest = null;
-                    isAwaitingAnswer = true;
                     handleRequest();
                 } else if (queuedRequest != null) {
                     break;
@@ -237,10 +203,10 @@
 
     private void readRequest() throws InvalidMessageException {
         if (receivingRequest == null) {
-            receivingRequest = new IncomingRequest(lastReadMicros);
+            receivingRequest = new ClientRequest(frontend, this, lastReadMicros);
         }
         if (reader.read(unreadInput)) {
-            receivingRequest.completeMicros = arrivalMicros;
+            receivingRequest.completed(arrivalMicros);
             queuedRequest = receivingRequest;
             receivingRequest = null;
             isReceivingInPieces = false;
@@ -253,7 +219,7 @@
         if (!isPartial) {
             receivingRequest = null;
         }
-        if (isPartial || !isAwaitingAnswer && !hasSentRequest) {
+        if (isPartial || currentRequest == null && !hasSentRequest) {
             if (readTimeout == null) {
                 readTimeout = frontend.deadlines().scheduleAfter(READ_TIMEOUT_MICROS, this::readTimedOut);
             }
@@ -261,7 +227,7 @@
             frontend.deadlines().cancel(readTimeout);
             readTimeout = null;
         }
-        if (isAwaitingAnswer) {
+        if (currentRequest != null) {
             frontend.connections().busy(this);
         } else if (isPartial) {
             frontend.connections().receiving(this);
@@ -273,7 +239,7 @@
     /** Closes a connection that has sent nothing or only a part of a request in time. */
     private void readTimedOut() {
         long untilMicros = receivingRequest == null ? 0
-            : Math.min(lastReadMicros + READ_TIMEOUT_MICROS, receivingRequest.startMicros + REQUEST_READ_TIMEOUT_MICROS);
+            : Math.min(lastReadMicros + READ_TIMEOUT_MICROS, receivingRequest.startMicros() + REQUEST_READ_TIMEOUT_MICROS);
         if (untilMicros > frontend.nowMicros()) {
             readTimeout = frontend.deadlines().scheduleAt(untilMicros, this::readTimedOut);     // still receiving
             return;
@@ -288,213 +254,72 @@
     }
 
     @Override public void onHead(MessageHead head) {
-        receivingRequest.head = head;
-        if (!isAwaitingAnswer && head.hasListItem("Expect", "100-continue")) {
+        receivingRequest.setHead(head);
+        if (currentRequest == null && head.hasListItem("Expect", "100-continue")) {
             channel.writeAndFlush(MessageEncoder.message("HTTP/1.1 100 Continue\r\n", new byte[0]));
         }
     }
 
-    /**
-     * Stores the next bytes of a body. A body for which there is no memory is still read to its end, because the client may
-     * miss a response that is sent before.
-     */
     @Override public void onBody(byte[] bytes) {
-        receivingRequest.isBodyDropped = receivingRequest.isBodyDropped || !frontend.reserveBodyBytes(bytes.length);
-        if (receivingRequest.isBodyDropped) {
-            releaseBody(receivingRequest);
-            receivingRequest.body.reset();
-        } else {
-            receivingRequest.reservedBytes += bytes.length;
-            receivingRequest.body.writeBytes(bytes);
-        }
+        receivingRequest.addBody(bytes);
     }
 
     private void handleRequest() throws InvalidMessageException {
-        String[] line = currentRequest.head.requestLine();
-        keepAlive = currentRequest.head.isKeepAlive();
+        MessageHead head = currentRequest.head();
+        String[] line = head.requestLine();
+        keepAlive = head.isKeepAlive();
         // RFC 9112, 3.2: a request without Host is invalid.
-        if (currentRequest.head.get("Host") == null) {
+        if (head.get("Host") == null) {
             throw new InvalidMessageException(400, "Host is missing");
         }
         switch (line[0]) {
-            case "POST" -> handlePost(RequestFields.parse(currentRequest.head, line[0], line[1]), line[0], line[1]);
+            case "POST" -> currentRequest.take(line[0], line[1]);
             case "GET" -> handleGet(line[1]);
             default -> throw new InvalidMessageException(405, "every req comes by POST");
         }
     }
 
-    private void handlePost(RequestFields fields, String method, String target) throws InvalidMessageException {
-        int requestClass = frontend.classIndex(fields.className());
-        if (requestClass < 0) {
-            throw new InvalidMessageException(400, "unknown class");
-        }
-        if (!fields.hasIdempotencyKey() && frontend.requiresIdempotencyKey(requestClass)) {
-            throw new InvalidMessageException(400, "Idempotency-Key is missing");
-        }
-        // Backends identify a request by its id, so two open requests must not share one.
-        if (frontend.isRequestOpen(fields.id())) {
-            frontend.metrics().increment(Count.IDS_IN_USE);
-            throw new InvalidMessageException(409, "X-Request-ID is in use");
-        }
-        hasSentRequest = true;
-        if (frontend.isAtRequestLimit()) {
-            frontend.metrics().increment(Count.CLIENT_CONNECTIONS_OVER_CAP);
-            keepAlive = false;
-            refuse(requestClass);
-            return;
-        }
-        // A request that is taken now would still be open at SIGKILL.
-        if (frontend.isPastFinalAnswers()) {
-            refuse(requestClass);
-            return;
-        }
-        if (currentRequest.isBodyDropped) {
-            refuse(requestClass);
-            return;
-        }
-        byte[] body = currentRequest.body.toByteArray();
-        currentRequest.body = null;
-        // The id is in use from here on, also during validation.
-        openRequestId = fields.id();
-        frontend.registerRequest(openRequestId);
-        frontend.connections().busy(this);
-        engineRequestId = 0;
-        if (frontend.requestValidator() == null) {
-            submit(fields, requestClass, body);
-        } else {
-            frontend.requestValidator().validate(method, target, currentRequest.head, body,
-                new PendingValidation(fields, requestClass, body, currentRequest));
-        }
-    }
-
-    /** Refuses a request that is not submitted. The ending is counted here, as the engine counts submitted requests only. */
-    private void refuse(int requestClass) {
-        frontend.metrics().recordEnding(Ending.DEFERRED, requestClass);
-        onRefused(frontend.retryAfterMicros());
-    }
-
-    /** Receives the result of one request's validation. */
-    private final class PendingValidation implements RequestValidator.Callback {
-        private final RequestFields fields;
-        private final int requestClass;
-        private final byte[] body;
-        private final IncomingRequest validatedRequest;
-
-        PendingValidation(RequestFields fields, int requestClass, byte[] body, IncomingRequest validatedRequest) {
-            this.fields = fields;
-            this.requestClass = requestClass;
-            this.body = body;
-            this.validatedRequest = validatedRequest;
-        }
-
-        /** Whether the client has disconnected or was rejected during the validation. */
-        private boolean isStale() {
-            return isClosed || isClosing || currentRequest != validatedRequest;
-        }
-
-        @Override public void onAccepted(ResponseContract contract) {
-            if (!isStale()) {
-                responseContract = contract;
-                submit(fields, requestClass, body);
-            } else if (contract != null) {
-                contract.release();
-            }
-        }
-
-        @Override public void onRejected(int status, String reason, String headers, byte[] content) {
-            if (!isStale()) {
-                frontend.metrics().recordEnding(Ending.ERRORED, requestClass);
-                sendResponse(status, reason, headers, content);
-            }
-        }
-
-        @Override public void onOverloaded() {
-            if (!isStale()) {
-                refuse(requestClass);
-            }
-        }
+    /** Whether the connection waited to be accepted, and no request on it has waited for the client's disconnect since. */
+    boolean wasAcceptedLate() {
+        return wasAcceptedLate;
     }
 
-    /** Submits the current request, after {@link #LATE_ACCEPT_WAIT_MICROS} if its client may have disconnected. */
-    private void submit(RequestFields fields, int requestClass, byte[] body) {
-        if (!wasAcceptedLate) {
-            submit(fields, requestClass, body, true);
-            return;
-        }
-        if (deadlineMicros(fields, requestClass) <= frontend.nowMicros()) {
-            refuse(requestClass);
-            return;
-        }
+    /** The current request waits for the client's disconnect. */
+    void awaitDisconnect() {
         wasAcceptedLate = false;
-        IncomingRequest submitted = currentRequest;
-        frontend.deadlines().scheduleAfter(LATE_ACCEPT_WAIT_MICROS, () -> {
-            if (!isClosed && !isClosing && currentRequest == submitted) {
-                submit(fields, requestClass, body, false);
-            }
-        });
     }
 
-    private void submit(RequestFields fields, int requestClass, byte[] body, boolean isDeadlineKnown) {
-        if (frontend.isPastFinalAnswers()) {     // the validation or the wait may have lasted until then
-            refuse(requestClass);
-            return;
-        }
-        ForwardedRequest forwarded =
-            new ForwardedRequest(fields.id(), fields.requestLine(), fields.headers(), body, responseContract);
-        long submittedId = frontend.engine().submit(this, forwarded, requestClass, frontend.tenantIndex(fields.tenant()),
-            fields.slots(), deadlineMicros(fields, requestClass), isDeadlineKnown);
-        engineRequestId = isAwaitingAnswer ? submittedId : 0;     // the request may be answered already
+    /** The current request is a valid POST request. */
+    void validRequestReceived() {
+        hasSentRequest = true;
     }
 
-    /** Returns the earliest time at which the client of the current request can give up. */
-    private long deadlineMicros(RequestFields fields, int requestClass) {
-        // Caps the client's timeout by its class's: a longer one would make the policy treat all other requests as late.
-        long timeoutMicros = Math.min(fields.timeoutMicros() > 0 ? fields.timeoutMicros() : Long.MAX_VALUE,
-            frontend.classDeadlineMicros(requestClass));
-        return currentRequest.completeMicros + timeoutMicros;
+    /** Closes the connection behind the answer to the current request. */
+    void closeAfterAnswer() {
+        keepAlive = false;
     }
 
     /** Answers operators' requests for readiness and metrics. */
     private void handleGet(String target) {
         if (target.equals("/healthz")) {
-            sendResponse(frontend.isReady() ? 200 : 503, frontend.isReady() ? "OK" : "Not Ready", "", new byte[0]);
+            sendAnswer(currentRequest, frontend.isReady() ? 200 : 503, frontend.isReady() ? "OK" : "Not Ready", "", new byte[0]);
         } else if (target.equals("/metrics")) {
-            sendResponse(200, "OK", "Content-Type: text/plain\r\n",
+            sendAnswer(currentRequest, 200, "OK", "Content-Type: text/plain\r\n",
                 frontend.metrics().text().getBytes(StandardCharsets.UTF_8));
         } else {
-            sendResponse(404, "Not Found", "", new byte[0]);
+            sendAnswer(currentRequest, 404, "Not Found", "", new byte[0]);
         }
     }
 
-    @Override public void onServed(byte[] result) {
-        sendResponse(200, "OK", "", result);
-    }
-
-    @Override public void onRefused(long retryAfterMicros) {
-        String headers = retryAfterMicros <= 0 ? "" : "Retry-After: " + formatSeconds(retryAfterMicros) + "\r\n";
-        sendResponse(503, "Service Unavailable", headers, new byte[0]);
-    }
-
-    /**
-     * Formats microseconds as seconds with three decimals, at least 0.001. Uses no formatter, which would take a third of the
-     * time of a refusal.
-     */
-    static String formatSeconds(long micros) {
-        long millis = Math.max(1, (micros + 500) / 1000);
-        return millis / 1000 + "." + Long.toString(1000 + millis % 1000).substring(1);
-    }
-
-    @Override public void onFailed(boolean timedOut) {
-        sendResponse(timedOut ? 504 : 500, timedOut ? "Gateway Timeout" : "Internal Server Error", "", new byte[0]);
-    }
-
-    private void sendResponse(int status, String reason, String headers, byte[] content) {
-        finishRequest();
-        // A queued request is answered before the connection closes.
-        keepAlive &= !frontend.closesAfterAnswer() || queuedRequest != null;
-        if (isClosed) {
+    /** Sends the final answer to a request; does nothing if it has ended before. */
+    void sendAnswer(ClientRequest request, int status, String reason, String headers, byte[] content) {
+        if (request.isEnded()) {
             return;
         }
+        request.end();
+        currentRequest = null;
+        // A queued request is answered before the connection closes.
+        keepAlive &= !frontend.closesAfterAnswer() || queuedRequest != null;
         ChannelFuture written =
             channel.writeAndFlush(MessageEncoder.response(status, reason, headers, content, keepAlive));
         // Otherwise a client whose response could not be written would go on waiting.
@@ -519,16 +344,20 @@
     }
 
     private void sendErrorAndClose(int status, String reason, String message) {
-        long openEngineRequestId = isAwaitingAnswer ? engineRequestId : 0;
-        finishRequest();
+        abandonCurrentRequest();
         keepAlive = false;
-        if (openEngineRequestId != 0) {
-            frontend.engine().clientDisconnected(openEngineRequestId);
-        }
         lingeringClose(channel.writeAndFlush(MessageEncoder.response(status, reason, "", (message + "\n")
             .getBytes(StandardCharsets.UTF_8), false)));
     }
 
+    private void abandonCurrentRequest() {
+        ClientRequest abandoned = currentRequest;
+        currentRequest = null;
+        if (abandoned != null) {
+            abandoned.abandon();
+        }
+    }
+
     /**
      * Closes the connection from this side: waits for the last write, shuts down the output, and then still reads for a
      * limited time and number of bytes. Closing with unread input, in the kernel or here, would reset the connection and lose
@@ -562,41 +391,24 @@
         return closingMicros;
     }
 
-    private void finishRequest() {
-        isAwaitingAnswer = false;
-        if (responseContract != null) {
-            responseContract.release();
-            responseContract = null;
-        }
-        releaseBody(currentRequest);
-        currentRequest = null;
-        frontend.unregisterRequest(openRequestId);
-        openRequestId = null;
-        engineRequestId = 0;
-    }
-
     private void discardInput() {
         frontend.reserveBodyBytes(-pipelinedBytes);
         pipelinedBytes = 0;
-        releaseBody(receivingRequest);
-        releaseBody(queuedRequest);
+        for (ClientRequest discarded : new ClientRequest[] {receivingRequest, queuedRequest}) {
+            if (discarded != null) {
+                discarded.abandon();
+            }
+        }
         receivingRequest = null;
         queuedRequest = null;
         unreadInput.clear().capacity(0);
     }
 
-    private void releaseBody(IncomingRequest request) {
-        if (request != null) {
-            frontend.reserveBodyBytes(-request.reservedBytes);
-            request.reservedBytes = 0;
-        }
-    }
-
     /** Starts a lingering close, unless one has started or the connection is closed. */
     void close() {
         if (!isClosed && !isClosing) {
             keepAlive = false;
-            mayCrossRequest = hasSentRequest && !isAwaitingAnswer;
+            mayCrossRequest = hasSentRequest && currentRequest == null;
             // Waits for the last write, as shutting down the output discards what has not been sent.
             lingeringClose(lastWrite);
         }
@@ -612,12 +424,8 @@
         isClosed = true;
         frontend.connections().closed(this);
         frontend.deadlines().cancel(readTimeout);
-        long openEngineRequestId = isAwaitingAnswer ? engineRequestId : 0;
-        finishRequest();
+        abandonCurrentRequest();
         discardInput();
-        if (openEngineRequestId != 0) {
-            frontend.engine().clientDisconnected(openEngineRequestId);
-        }
     }
 
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/test/java/badgermux/front/RetryAfterTest.java
+++ b/src/test/java/badgermux/front/RetryAfterTest.java
@@ -10,6 +10,6 @@
     @ParameterizedTest @CsvSource({"1, 0.001", "499, 0.001", "1500, 0.002", "50000, 0.050", "999999, 1.000",
         "2000000, 2.000", "61234000, 61.234"})
     void secondsHaveThreeDecimalsAndAreNeverZero(long micros, String seconds) {
-        assertEquals(seconds, FrontendConnection.formatSeconds(micros));
+        assertEquals(seconds, ClientRequest.formatSeconds(micros));
     }
 }
--- a/src/test/java/badgermux/it/InProcessDispatcher.java
+++ b/src/test/java/badgermux/it/InProcessDispatcher.java
@@ -7,6 +7,7 @@
 import badgermux.core.ResponseListener;
 import badgermux.decide.DispatchPolicy;
 import badgermux.front.Frontend;
+import badgermux.front.RequestValidator;
 import badgermux.http.ForwardedRequest;
 import badgermux.metrics.Metrics;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -60,12 +61,18 @@
     Runnable onRequestReceived = () -> { };
 
     InProcessDispatcher() throws Exception {
+        this(null);
+    }
+
+    /** Creates a dispatcher whose requests are validated; null for no validation. */
+    InProcessDispatcher(RequestValidator requestValidator) throws Exception {
         DispatchPolicy.Settings settings = new DispatchPolicy.Settings();
         settings.classes.add(new DispatchPolicy.RequestClass("preview", DispatchPolicy.Effect.REPEATABLE,
             DispatchPolicy.DedupScope.ALL, 4_000_000, 1, 5_000_000, 0, 1, 0, -1, false));
         backendClient = new HttpBackendClient(eventLoop, deadlines, this::nowMicros, metrics, engine, 3_000_000, 15_000_000, 100,
             false);
-        frontend = new Frontend(this::nowMicros, deadlines, metrics, engine, settings, () -> true, MAX_CLIENTS, 8, 1 << 24, null);
+        frontend = new Frontend(this::nowMicros, deadlines, metrics, engine, settings, () -> true, MAX_CLIENTS, 8, 1 << 24,
+            requestValidator);
         engine.connect(new ScriptedPolicy(), backendClient, () -> policyEvents.add("watch"));
         port = ((InetSocketAddress) frontend.listen(eventLoop, new InetSocketAddress("127.0.0.1", 0)).sync().channel()
             .localAddress()).getPort();
@@ -99,6 +106,11 @@
         return id;
     }
 
+    /** Returns the id of the last request that the policy received; called on the event loop. */
+    long lastRequestId() {
+        return lastRequest.id();
+    }
+
     /** Returns the time that the last request had left when the policy received it; called on the event loop. */
     long lastRemainingMicros() {
         return lastRequest.remainingMicros();
