ClientMemory: one account and one bound for all that client connections hold

Cause: the bound counted bodies and input behind a queued request only. Behind the last request of a connection nothing is queued, so all that came was kept, uncounted. Partial heads and answers not read were in no account either.

The new ClientMemoryIT (300 clients, 900 KB each) fails on the code before, where no other client's job reaches a backend in 10 s.

Change: each connection reports what it holds after each event; where the others hold more than a sixteenth of the memory, the largest beyond its taken request gives way. Input behind the last request is discarded, up to 1 MiB.

--- a/src/main/java/badgermux/DispatcherProcess.java
+++ b/src/main/java/badgermux/DispatcherProcess.java
@@ -37,8 +37,8 @@
  * SIGTERM.
  */
 final class DispatcherProcess {
-    /** Buffered request bodies may take the memory limit divided by this: 12 MB of 192 MB. */
-    private static final int BODY_MEMORY_DIVISOR = 16;
+    /** What clients send and have not read may take the memory limit divided by this: 12 MB of 192 MB. */
+    private static final int CLIENT_MEMORY_DIVISOR = 16;
     /** How long the shutdown waits for the metrics, then for the files, and then for the log, to be written. */
     private static final long OUTPUT_TIMEOUT_MILLIS = 200;
 
@@ -175,7 +175,7 @@
             console == null ? null : console.cordons(), settings.listPushed, config.seed());
         frontend = new Frontend(clock::nowMicros, deadlines, metrics, engine, settings, discovery::hasUsableList,
             budget.clientConnections(), budget.excessClientConnections(),
-            ((long) config.memoryMb() << 20) / BODY_MEMORY_DIVISOR,
+            ((long) config.memoryMb() << 20) / CLIENT_MEMORY_DIVISOR,
             adminService == null ? null : adminService.requestValidator(metrics));
         engine.connect(new DefaultDispatchPolicy(settings, config.seed(), engine, zones), backends, discovery::watch);
         discovery.start();
--- a/src/main/java/badgermux/front/ClientRequest.java
+++ b/src/main/java/badgermux/front/ClientRequest.java
@@ -28,8 +28,7 @@
     private long completeMicros;
     private MessageHead head;
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-    private int reservedBytes;
-    /** Whether there was no memory for the body. */
+    /** Whether the body was dropped, as there was no memory for it. */
     private boolean isBodyDropped;
     /** Null until the request has been found to be valid. */
     private RequestFields fields;
@@ -66,21 +65,36 @@
         head = completeHead;
     }
 
-    /**
-     * Stores the next bytes of the body. A body for which there is no memory is still read to its end, because the client may
-     * miss a response that is sent before.
-     */
+    /** Stores the next bytes of the body, unless it has been dropped. */
     void addBody(byte[] bytes) {
-        isBodyDropped = isBodyDropped || !frontend.reserveBodyBytes(bytes.length);
-        if (isBodyDropped) {
-            releaseBody();
-            body.reset();
-        } else {
-            reservedBytes += bytes.length;
+        if (!isBodyDropped) {
             body.writeBytes(bytes);
         }
     }
 
+    /** Returns how many bytes of the body have been received; 0 if it was dropped. */
+    int receivedBodyBytes() {
+        return body.size();
+    }
+
+    /**
+     * Frees the part of the body that has been received. The rest is still read, because the client may miss a response that
+     * is sent before; then the request is refused.
+     */
+    void dropBody() {
+        isBodyDropped = true;
+        body = new ByteArrayOutputStream(0);
+    }
+
+    /** Returns how many bytes are held for this request. */
+    long heldBytes() {
+        if (isEnded || head == null) {
+            return 0;
+        }
+        // The header lines of a taken request are held once more, as they are forwarded.
+        return content == null ? head.size() + body.size() : 2L * head.size() + content.length;
+    }
+
     /** The last byte has been read; {@code atMicros} is the earliest time at which it can have arrived. */
     void completed(long atMicros) {
         completeMicros = atMicros;
@@ -113,7 +127,12 @@
             return;
         }
         // A request that is taken now would still be open at SIGKILL.
-        if (frontend.isPastFinalAnswers() || isBodyDropped) {
+        if (frontend.isPastFinalAnswers()) {
+            refuse();
+            return;
+        }
+        if (isBodyDropped || frontend.clientMemory().isExhaustedFor(connection)) {
+            frontend.metrics().increment(Count.BODIES_OVER_CAP);
             refuse();
             return;
         }
@@ -233,7 +252,6 @@
             return;
         }
         isEnded = true;
-        releaseBody();
         if (responseContract != null) {
             responseContract.release();
             responseContract = null;
@@ -253,9 +271,4 @@
             frontend.engine().clientDisconnected(engineRequestId);
         }
     }
-
-    private void releaseBody() {
-        frontend.reserveBodyBytes(-reservedBytes);
-        reservedBytes = 0;
-    }
 }
--- a/src/main/java/badgermux/front/Frontend.java
+++ b/src/main/java/badgermux/front/Frontend.java
@@ -55,7 +55,6 @@
     /** Indexes of the request classes that need an Idempotency-Key. */
     private final Set<Integer> keyedClasses;
     private final BooleanSupplier readiness;
-    private final long maxBodyBytes;
     private final long retryAfterMicros;
     private final long finalAnswerDelayMicros;
     /** Null if requests are not validated. */
@@ -63,9 +62,8 @@
     /** The ids of all requests that have no final answer yet. */
     private final Set<String> openRequestIds = new HashSet<>();
     private final ClientConnections connections;
+    private final ClientMemory clientMemory;
     private final Acceptor acceptor;
-    /** Memory reserved for request bodies and pipelined input. */
-    private long bodyBytes;
     /** Whether other processes hold the listening socket, too. */
     private boolean isListenerShared;
     private boolean isHandedOver;
@@ -88,12 +86,12 @@
      * @param readiness           whether requests can be served
      * @param maxConnections      how many client connections are served at once
      * @param maxExtraConnections how many more are accepted, so that their requests are refused and not left waiting
-     * @param maxBodyBytes        bound of the memory for request bodies, complete or partial, until their requests are answered
+     * @param maxClientBytes      bound of the memory that all client connections hold together, in bytes
      * @param requestValidator    validates requests before they are submitted; null if none are validated
      */
     public Frontend(LongSupplier clock, Deadlines deadlines, Metrics metrics, Engine<ForwardedRequest> engine,
             DispatchPolicy.Settings settings, BooleanSupplier readiness, int maxConnections, int maxExtraConnections,
-            long maxBodyBytes, RequestValidator requestValidator) {
+            long maxClientBytes, RequestValidator requestValidator) {
         this.clock = clock;
         this.deadlines = deadlines;
         this.metrics = metrics;
@@ -107,7 +105,7 @@
         finalAnswerDelayMicros = finalAnswerDelayMicros(
             classDeadlineMicros.stream().mapToLong(Long::longValue).max().orElse(MAX_KILL_DEADLINE_MICROS));
         this.readiness = readiness;
-        this.maxBodyBytes = maxBodyBytes;
+        clientMemory = new ClientMemory(maxClientBytes, metrics);
         this.requestValidator = requestValidator;
         connections = new ClientConnections(clock, deadlines, metrics, maxConnections, maxExtraConnections);
         acceptor = new Acceptor(clock, deadlines, metrics, connections);
@@ -299,19 +297,9 @@
         return keyedClasses.contains(requestClass);
     }
 
-    /**
-     * Reserves memory for received bytes, so that request bodies can't fill the heap.
-     *
-     * @param bytes number of bytes; negative to release them
-     * @return whether there was room; if not, nothing is reserved
-     */
-    boolean reserveBodyBytes(int bytes) {
-        if (bytes > 0 && bodyBytes + bytes > maxBodyBytes) {
-            metrics.increment(Count.BODIES_OVER_CAP);
-            return false;
-        }
-        bodyBytes += bytes;
-        return true;
+    /** Returns the account of the memory that client connections hold. */
+    ClientMemory clientMemory() {
+        return clientMemory;
     }
 
     boolean isReady() {
--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -12,13 +12,14 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.tinylog.Logger;
 
 /** A client's connection. Serves one request at a time and gives each its final answer. */
-final class FrontendConnection extends ChannelInboundHandlerAdapter implements MessageReader.Listener {
+final class FrontendConnection extends ChannelInboundHandlerAdapter implements MessageReader.Listener, ClientMemory.Holder {
     /** How long a connection may be silent before its first request or within a request. */
     static final long READ_TIMEOUT_MICROS = 2_000_000;
     /** How long a request may take from its first byte to its last. */
@@ -29,8 +30,8 @@
     private static final long NEGLIGIBLE_WAIT_MICROS = 1_000;
     /** How long a closing connection is still read after this side has been shut down. */
     static final long LINGER_MICROS = 500_000;
-    /** How many bytes are read from a closing connection before it is aborted. */
-    private static final long MAX_LINGER_BYTES = 1 << 20;
+    /** How many bytes are discarded behind the last request of a connection before it is closed or aborted. */
+    private static final long MAX_DISCARDED_BYTES = 1 << 20;
     /** Initial capacity of the buffer of unread input. */
     private static final int INITIAL_BUFFER_BYTES = 1024;
     /** How many bytes may follow a queued request: clients send one request at a time. */
@@ -62,9 +63,10 @@
     private boolean wasAcceptedLate;
     private ChannelFuture lastWrite;
     private boolean isReceivingInPieces;
-    private long lingerBytes;
+    /** Whether the last request of the connection has been received: input behind it is not read as a request. */
+    private boolean isInputEnded;
+    private long discardedBytes;
     private long closingMicros;
-    private int pipelinedBytes;
     private boolean hasSentRequest;
     private boolean isProcessing;
     private boolean keepAlive = true;
@@ -125,17 +127,8 @@
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf in = (ByteBuf) message;
-        if (isClosing) {
-            // Reads and discards the input: closing with unread input resets the connection and loses the response on its way.
-            if (mayCrossRequest) {
-                mayCrossRequest = false;
-                frontend.metrics().increment(Count.CLIENT_CLOSES_CROSSED);
-            }
-            lingerBytes += in.readableBytes();
-            in.release();
-            if (lingerBytes > MAX_LINGER_BYTES) {
-                abort();
-            }
+        if (isClosing || isInputEnded) {
+            discard(in);
             return;
         }
         long now = frontend.nowMicros();
@@ -151,6 +144,26 @@
         processInput();
     }
 
+    /**
+     * Reads and discards input that is not taken for a request. Closing with unread input resets the connection and loses the
+     * response on its way; and behind the last request of a client its disconnect is still to be noticed.
+     */
+    private void discard(ByteBuf in) {
+        if (mayCrossRequest) {
+            mayCrossRequest = false;
+            frontend.metrics().increment(Count.CLIENT_CLOSES_CROSSED);
+        }
+        discardedBytes += in.readableBytes();
+        in.release();
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            if (isClosing) {
+                abort();
+            } else {
+                reject(413, "too much is sent behind the last request");
+            }
+        }
+    }
+
     /**
      * Reads and handles one request after another. An answer that is sent from within this method does not start it again.
      * The next request is read while the current one is served, so that an invalid message is rejected at once and not after
@@ -162,11 +175,12 @@
         }
         isProcessing = true;
         try {
-            while (!isClosed && !isClosing && keepAlive
+            while (!isClosed && !isClosing
                     && (queuedRequest != null && currentRequest == null || unreadInput.isReadable())) {
                 if (queuedRequest != null && currentRequest == null) {
                     currentRequest = queuedRequest;
                     queuedRequest = null;
+                    updateMemory();
                     handleRequest();
                 } else if (queuedRequest != null) {
                     break;
@@ -186,18 +200,16 @@
             updateState();
             limitPipelining();
         }
+        updateMemory();
     }
 
     /**
-     * Rejects pipelined input beyond the limits, which would fill the heap. Reading is never suspended instead, because a
-     * client's disconnect is only noticed when all that the client sent before has been read.
+     * Rejects pipelined input beyond the limit. Reading is never suspended instead, because a client's disconnect is only
+     * noticed when all that the client sent before has been read.
      */
     private void limitPipelining() {
-        int unreadBytes = queuedRequest == null ? 0 : unreadInput.readableBytes();
-        if (unreadBytes > MAX_PIPELINED_BYTES || !frontend.reserveBodyBytes(unreadBytes - pipelinedBytes)) {
+        if (unreadInput.readableBytes() > MAX_PIPELINED_BYTES) {
             reject(413, "too much is sent ahead of an answer");
-        } else {
-            pipelinedBytes = unreadBytes;
         }
     }
 
@@ -210,6 +222,12 @@
             queuedRequest = receivingRequest;
             receivingRequest = null;
             isReceivingInPieces = false;
+            // RFC 9112, 9.6: nothing behind a request that ends the connection is taken for a request.
+            if (!queuedRequest.head().isKeepAlive()) {
+                isInputEnded = true;
+                discardedBytes += unreadInput.readableBytes();
+                unreadInput.clear();
+            }
         }
     }
 
@@ -325,6 +343,7 @@
         // Otherwise a client whose response could not be written would go on waiting.
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         lastWrite = written;
+        updateMemoryWhenWritten(written);
         if (keepAlive) {
             processInput();
         } else {
@@ -372,6 +391,7 @@
         readTimeout = frontend.deadlines().scheduleAfter(READ_TIMEOUT_MICROS, this::abort);
         frontend.connections().closing(this);
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        updateMemoryWhenWritten(written);
         written.addListener(done -> {
             if (done.isSuccess() && !isClosed) {
                 channel.shutdownOutput();
@@ -392,8 +412,6 @@
     }
 
     private void discardInput() {
-        frontend.reserveBodyBytes(-pipelinedBytes);
-        pipelinedBytes = 0;
         for (ClientRequest discarded : new ClientRequest[] {receivingRequest, queuedRequest}) {
             if (discarded != null) {
                 discarded.abandon();
@@ -402,6 +420,65 @@
         receivingRequest = null;
         queuedRequest = null;
         unreadInput.clear().capacity(0);
+        updateMemory();
+    }
+
+    // ---- Memory
+
+    private void updateMemory() {
+        frontend.clientMemory().update(this, isClosed ? 0 : heldBytes());
+    }
+
+    /** Reports the memory of an answer as free once its last byte has been handed to the system. */
+    private void updateMemoryWhenWritten(ChannelFuture written) {
+        if (!written.isDone()) {
+            written.addListener(done -> updateMemory());
+        }
+    }
+
+    /** Returns the bytes of the input, the requests and the answers on this connection; 0 where only initial buffers are held. */
+    private long heldBytes() {
+        return unreadInputBytes() + reader.heldBytes() + unsentBytes()
+            + heldBytes(receivingRequest) + heldBytes(queuedRequest) + heldBytes(currentRequest);
+    }
+
+    private static long heldBytes(ClientRequest request) {
+        return request == null ? 0 : request.heldBytes();
+    }
+
+    private long unreadInputBytes() {
+        return unreadInput.isReadable() ? unreadInput.capacity() : 0;
+    }
+
+    /** Returns the bytes of answers that the client has not read and the system has not taken. */
+    private long unsentBytes() {
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        return unsent == null ? 0 : unsent.totalPendingWriteBytes();
+    }
+
+    @Override public long releasableBytes() {
+        if (isClosed) {
+            return 0;
+        }
+        return heldBytes() - heldBytes(currentRequest);
+    }
+
+    /** Gives up, in this order: answers that are not read, input ahead of an answer, a partial body, a partial head. */
+    @Override public void releaseMemory() {
+        if (isClosing || unsentBytes() > 0) {
+            isClosing = true;
+            abandonCurrentRequest();
+            discardInput();
+            abort();
+            frontend.clientMemory().update(this, 0);
+        } else if (queuedRequest != null) {
+            reject(413, "too much is sent ahead of an answer");
+        } else if (receivingRequest != null && receivingRequest.receivedBodyBytes() > 0) {
+            receivingRequest.dropBody();
+            updateMemory();
+        } else {
+            refuseIncompleteRequest();
+        }
     }
 
     /** Starts a lingering close, unless one has started or the connection is closed. */
--- a/src/main/java/badgermux/http/MessageHead.java
+++ b/src/main/java/badgermux/http/MessageHead.java
@@ -18,10 +18,12 @@
     private static final String DELIMITERS = "()<>@,;:\\\"/[]?={}";
 
     private final String startLine;
+    private final int size;
     private final List<HeaderLine> lines = new ArrayList<>();
 
-    private MessageHead(String startLine) {
+    private MessageHead(String startLine, int size) {
         this.startLine = startLine;
+        this.size = size;
     }
 
     /**
@@ -31,7 +33,7 @@
      */
     static MessageHead parse(String text) throws InvalidMessageException {
         int end = lineEnd(text, 0);
-        MessageHead head = new MessageHead(text.substring(0, end));
+        MessageHead head = new MessageHead(text.substring(0, end), text.length());
         while (end < text.length()) {
             int start = end + CRLF.length();
             end = lineEnd(text, start);
@@ -64,6 +66,11 @@
         return true;
     }
 
+    /** Returns the length of the head in bytes, without the empty line at its end. */
+    public int size() {
+        return size;
+    }
+
     /** Returns the request line or the status line. */
     public String startLine() {
         return startLine;
--- a/src/main/java/badgermux/http/MessageReader.java
+++ b/src/main/java/badgermux/http/MessageReader.java
@@ -21,6 +21,8 @@
 
     /** The longest head, and the longest trailer. */
     public static final int MAX_HEAD_BYTES = 16 * 1024;
+    /** Initial capacity of the buffer of a head or line. */
+    private static final int INITIAL_LINE_BYTES = 512;
     /** The longest line with a chunk's size and extensions. */
     private static final int MAX_CHUNK_LINE_BYTES = 256;
     /** The longest method of a request. */
@@ -35,7 +37,7 @@
     private final Listener listener;
     private State state = State.HEAD;
     /** The head or line that is being read. */
-    private byte[] line = new byte[512];
+    private byte[] line = new byte[INITIAL_LINE_BYTES];
     private int lineLength;
     /** CR and LF bytes skipped before the head. */
     private int leadingLineEndBytes;
@@ -61,6 +63,11 @@
         return state == State.HEAD && lineLength == 0;
     }
 
+    /** Returns how many bytes are held for the part of a head or line that has been read; 0 if there is none. */
+    public int heldBytes() {
+        return lineLength == 0 ? 0 : line.length;
+    }
+
     /**
      * Reads up to the end of one message at most; input after it stays unread.
      *
@@ -110,7 +117,7 @@
             append(b, MAX_HEAD_BYTES, 431);
             if (b == '\n' && endsWith("\r\n\r\n")) {
                 String text = new String(line, 0, lineLength - 4, StandardCharsets.ISO_8859_1);
-                lineLength = 0;
+                clearLine();
                 leadingLineEndBytes = 0;
                 isMethodComplete = false;
                 return startBody(MessageHead.parse(text));
@@ -229,10 +236,18 @@
     /** Returns the line without its end, and starts the next line. */
     private String takeLineText() {
         String text = new String(line, 0, lineLength - 2, StandardCharsets.ISO_8859_1);
-        lineLength = 0;
+        clearLine();
         return text;
     }
 
+    /** Empties the buffer, and gives it its initial capacity again: few lines are long, and connections stay open for long. */
+    private void clearLine() {
+        lineLength = 0;
+        if (line.length > INITIAL_LINE_BYTES) {
+            line = new byte[INITIAL_LINE_BYTES];
+        }
+    }
+
     /** Rejects input that can't be a method at once, instead of waiting for the rest of a request line. */
     private void checkMethodByte(byte b) throws InvalidMessageException {
         isMethodComplete = b == ' ' && lineLength > 0;
--- /dev/null
+++ b/src/test/java/badgermux/it/ClientMemoryIT.java
@@ -0,0 +1,106 @@
+package badgermux.it;
+
+import static badgermux.it.Program.member;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Runs the packaged program with crowds of clients that make it hold as much as they can, beside a client that behaves. */
+@Timeout(60)
+class ClientMemoryIT {
+    /** Fewer than the connections that are served at once with 1,024 descriptors. */
+    private static final int CROWD_SIZE = 300;
+    /** The memory limit of the deployment. */
+    private static final long MAX_PROCESS_KB = 192 * 1024;
+    /** How many clients of the crowd send at the same time. */
+    private static final int SENDERS = 16;
+
+    @TempDir private Path folder;
+    private FakeServer backend;
+    private Program program;
+    private final List<Client> crowd = new ArrayList<>();
+    private ExecutorService senders;
+
+    @BeforeEach void start() throws IOException {
+        backend = new FakeServer();
+        program = Program.startWithConsole(folder, member("s-1", backend, "east", "SERVING"), 1024);
+        senders = Executors.newFixedThreadPool(SENDERS, task -> {
+            Thread thread = new Thread(task, "crowd");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    @AfterEach void stop() throws IOException {
+        senders.shutdownNow();
+        for (Client client : crowd) {
+            client.close();
+        }
+        program.close();
+        backend.close();
+    }
+
+    /** Connects a crowd each of whose clients sends a text; a client that is closed by the program sends no more. */
+    private void sendFromCrowd(int size, String text) throws IOException, InterruptedException {
+        for (int i = 0; i < size; i++) {
+            Client client = program.client();
+            crowd.add(client);
+            String own = text.replace("$id", Client.nextRequestId());
+            senders.execute(() -> {
+                try {
+                    client.send(own);
+                } catch (IOException e) {
+                    // closed by the program
+                }
+            });
+        }
+        senders.shutdown();
+        assertTrue(senders.awaitTermination(30, TimeUnit.SECONDS), "the crowd has sent all that the program reads");
+    }
+
+    /** Checks that clients that behave are answered, and that the process has kept to its limit. */
+    private void assertOthersAreServed() throws IOException, InterruptedException {
+        for (int i = 0; i < 20; i++) {
+            try (Client other = program.client()) {
+                String id = Client.nextRequestId();
+                other.send("POST /preview HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id
+                    + "\r\nX-Timeout: 5000m\r\nContent-Length: 5\r\n\r\nsound");
+                FakeServer.Exchange exchange = backend.take();
+                while (!id.equals(exchange.header("X-Request-ID"))) {
+                    exchange = backend.take();
+                }
+                exchange.sendResult("r");
+                assertEquals(200, other.read().status());
+            }
+        }
+        assertEquals(0, program.counterValue("exceptions"));
+        assertTrue(peakMemoryKb() <= MAX_PROCESS_KB, peakMemoryKb() + " kB at the peak");
+    }
+
+    /** Returns the peak of the process's resident memory. */
+    private long peakMemoryKb() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + program.process.pid() + "/status")).stream()
+            .filter(line -> line.startsWith("VmHWM:")).mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+            .findFirst().orElseThrow();
+    }
+
+    /** Guards against input that is kept behind a request with Connection: close: it filled the heap. */
+    @Test void inputBehindLastRequestIsNotKept() throws IOException, InterruptedException {
+        sendFromCrowd(CROWD_SIZE, "POST /preview HTTP/1.1\r\nHost: h\r\nX-Request-ID: $id\r\nConnection: close\r\n"
+            + "Content-Length: 0\r\n\r\n" + "x".repeat(900_000));
+        assertOthersAreServed();
+    }
+}
