ClientRequest: a request that waits to be judged has its deadline and its client's end

Cause: the engine holds the final answer's deadline and learns of a request after its judgement. What waits in the queue in front of the two judging threads was neither answered at its time nor taken out when its client left.

Change: before the submission the request's own timer refuses it, at the engine's margin before its client gives up or with the last answers of a process that ends. Its end cancels the judgement.

--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -24,7 +24,7 @@
      */
     static final long ATTEMPT_MARGIN_MICROS = 30_000;
     /** A request still open this long before its client gives up fails, whatever the policy does. */
-    static final long ANSWER_MARGIN_MICROS = 15_000;
+    public static final long ANSWER_MARGIN_MICROS = 15_000;
 
     /** A request until its final answer and the outcome of its last attempt. */
     private static final class PendingRequest<P> {
--- a/src/main/java/badgermux/front/ClientRequest.java
+++ b/src/main/java/badgermux/front/ClientRequest.java
@@ -1,5 +1,7 @@
 package badgermux.front;
 
+import badgermux.core.Deadlines;
+import badgermux.core.Engine;
 import badgermux.core.ResponseListener;
 import badgermux.http.ForwardedRequest;
 import badgermux.http.InvalidMessageException;
@@ -36,6 +38,10 @@
     private byte[] content;
     /** Whether its id is in use. */
     private boolean isRegistered;
+    /** Null unless the request waits for its validation. */
+    private RequestValidator.Validation validation;
+    /** Ends the wait before the submission shortly before the client gives up; null unless the request waits. */
+    private Deadlines.Deadline waitTimeout;
     /** Null if the response is not validated. */
     private ResponseContract responseContract;
     /** The engine's id; 0 if the request has not been submitted. */
@@ -145,7 +151,38 @@
         if (frontend.requestValidator() == null) {
             submit();
         } else {
-            frontend.requestValidator().validate(method, target, head, content, this);
+            RequestValidator.Validation pending =
+                frontend.requestValidator().validate(method, target, head, content, this);
+            if (pending != null) {
+                validation = pending;
+                startWait();
+            }
+        }
+    }
+
+    /**
+     * Starts a wait before the submission. Until then the engine does not know the request, so that its final answer is due
+     * here: shortly before its client gives up, or before this process exits.
+     */
+    private void startWait() {
+        if (waitTimeout == null) {
+            waitTimeout = frontend.deadlines().scheduleAt(deadlineMicros() - Engine.ANSWER_MARGIN_MICROS,
+                this::refuseUnsubmitted);
+            frontend.waitStarted(this);
+        }
+    }
+
+    /** Refuses the request, which has waited for its submission until its answer was due. */
+    void refuseUnsubmitted() {
+        frontend.metrics().increment(Count.ANSWERS_OVERDUE);
+        refuse();
+    }
+
+    private void endWait() {
+        if (waitTimeout != null) {
+            frontend.deadlines().cancel(waitTimeout);
+            waitTimeout = null;
+            frontend.waitEnded(this);
         }
     }
 
@@ -158,25 +195,19 @@
     // ---- Validation
 
     @Override public void onAccepted(ResponseContract contract) {
-        if (!isEnded) {
-            responseContract = contract;
-            submit();
-        } else if (contract != null) {
-            contract.release();
-        }
+        validation = null;
+        responseContract = contract;
+        submit();
     }
 
     @Override public void onRejected(int status, String reason, String headers, byte[] problem) {
-        if (!isEnded) {
-            frontend.metrics().recordEnding(Ending.ERRORED, requestClass);
-            connection.sendAnswer(this, status, reason, headers, problem);
-        }
+        validation = null;
+        frontend.metrics().recordEnding(Ending.ERRORED, requestClass);
+        connection.sendAnswer(this, status, reason, headers, problem);
     }
 
     @Override public void onOverloaded() {
-        if (!isEnded) {
-            refuse();
-        }
+        refuse();
     }
 
     // ---- Submission
@@ -189,6 +220,7 @@
             refuse();
         } else {
             connection.awaitDisconnect();
+            startWait();
             frontend.deadlines().scheduleAfter(LATE_ACCEPT_WAIT_MICROS, () -> {
                 if (!isEnded) {
                     submitNow(false);
@@ -198,6 +230,7 @@
     }
 
     private void submitNow(boolean isDeadlineKnown) {
+        endWait();
         if (frontend.isPastFinalAnswers()) {     // the validation or the wait may have lasted until then
             refuse();
             return;
@@ -252,6 +285,11 @@
             return;
         }
         isEnded = true;
+        endWait();
+        if (validation != null) {
+            validation.cancel();
+            validation = null;
+        }
         if (responseContract != null) {
             responseContract.release();
             responseContract = null;
--- a/src/main/java/badgermux/front/Frontend.java
+++ b/src/main/java/badgermux/front/Frontend.java
@@ -16,6 +16,7 @@
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -61,6 +62,8 @@
     private final RequestValidator requestValidator;
     /** The ids of all requests that have no final answer yet. */
     private final Set<String> openRequestIds = new HashSet<>();
+    /** Requests that wait for their validation, or for their client's disconnect, and are not known to the engine yet. */
+    private final Set<ClientRequest> waitingRequests = new LinkedHashSet<>();
     private final ClientConnections connections;
     private final ClientMemory clientMemory;
     private final Acceptor acceptor;
@@ -208,6 +211,8 @@
         finalAnswers = new FinalAnswerScheduler(deadlines, clock, engine::openRequestCount, engine::answerBeforeExit,
             startMicros + finalAnswerDelayMicros / 2, startMicros + finalAnswerDelayMicros);
         finalAnswers.start();
+        deadlines.scheduleAt(startMicros + finalAnswerDelayMicros,
+            () -> List.copyOf(waitingRequests).forEach(ClientRequest::refuseUnsubmitted));
         if (isListenerShared) {
             // New connections wait in the socket's queue for the next process, and are not refused.
             acceptor.stop();
@@ -272,6 +277,16 @@
         openRequestIds.remove(id);
     }
 
+    /** A request waits before it is submitted to the engine. */
+    void waitStarted(ClientRequest request) {
+        waitingRequests.add(request);
+    }
+
+    /** A request has been submitted or has ended. */
+    void waitEnded(ClientRequest request) {
+        waitingRequests.remove(request);
+    }
+
     /** Whether connections close after their answer, so that clients send their next request to another process. */
     boolean closesAfterAnswer() {
         return isDraining || isHandedOver;
--- a/src/main/java/badgermux/front/RequestValidator.java
+++ b/src/main/java/badgermux/front/RequestValidator.java
@@ -5,6 +5,12 @@
 
 /** Decides about each request, before it is submitted to the engine, whether it is accepted. */
 public interface RequestValidator {
+    /** A validation whose result is still to come. */
+    interface Validation {
+        /** The result is not needed any more: the callback gets none, and a validation that has not begun never does. */
+        void cancel();
+    }
+
     /** Receives the result of a validation. One method is called, once, on the event loop: within {@link #validate} or later. */
     interface Callback {
         /**
@@ -25,6 +31,10 @@
         void onOverloaded();
     }
 
-    /** Validates a complete request. */
-    void validate(String method, String target, MessageHead head, byte[] body, Callback callback);
+    /**
+     * Validates a complete request.
+     *
+     * @return the validation, if its result comes later; null if the callback has been called
+     */
+    Validation validate(String method, String target, MessageHead head, byte[] body, Callback callback);
 }
--- a/src/main/java/badgermux/gate/ContractValidator.java
+++ b/src/main/java/badgermux/gate/ContractValidator.java
@@ -99,11 +99,11 @@
         return recentRequests.all();
     }
 
-    @Override public void validate(String method, String target, MessageHead head, byte[] body, Callback callback) {
+    @Override public Validation validate(String method, String target, MessageHead head, byte[] body, Callback callback) {
         Revision revision = current;
         if (revision.contracts.descriptions().isEmpty()) {
             callback.onAccepted(null);
-            return;
+            return null;
         }
         HttpRequest request = new HttpRequest(method, target, head::values, body);
         recentRequests.add(request);
@@ -111,37 +111,71 @@
         if (body.length <= MAX_EVENT_LOOP_BODY_BYTES) {
             try {
                 respond(revision, revision.contracts.validateQuickly(request), callback);
-                return;
+                return null;
             } catch (StepLimitException e) {
                 // validated in the thread pool, below
             } catch (RuntimeException e) {
                 refuseWithServerError(e, callback);
-                return;
+                return null;
             }
         }
         metrics.increment(Count.CONTRACT_JUDGED_APART);
-        runInPool(() -> revision.contracts.validate(request), validation -> respond(revision, validation, callback),
-            e -> refuseWithServerError(e, callback), callback::onOverloaded);
+        PooledTask<ContractSet.RequestValidation> task = new PooledTask<>(() -> revision.contracts.validate(request),
+            validation -> respond(revision, validation, callback), e -> refuseWithServerError(e, callback));
+        if (task.start()) {
+            return task;
+        }
+        callback.onOverloaded();
+        return null;
     }
 
-    /**
-     * Runs a task in the thread pool and reports its outcome on the event loop; {@code onRejected} runs at once if the queue is
-     * full.
-     */
-    private <T> void runInPool(Supplier<T> task, Consumer<T> onSuccess, Consumer<Throwable> onFailure,
-            Runnable onRejected) {
-        try {
-            validationPool.execute(() -> {
-                try {
-                    T outcome = task.get();
-                    eventLoop.execute(() -> onSuccess.accept(outcome));
-                } catch (RuntimeException | StackOverflowError e) {
-                    eventLoop.execute(() -> onFailure.accept(e));
+    /** A task in the thread pool, whose outcome is reported on the event loop. */
+    private final class PooledTask<T> implements Runnable, Validation {
+        private final Supplier<T> task;
+        private final Consumer<T> onSuccess;
+        private final Consumer<Throwable> onFailure;
+        /** Used on the event loop only. */
+        private boolean isCancelled;
+
+        PooledTask(Supplier<T> task, Consumer<T> onSuccess, Consumer<Throwable> onFailure) {
+            this.task = task;
+            this.onSuccess = onSuccess;
+            this.onFailure = onFailure;
+        }
+
+        /** Queues the task; returns false if the queue is full. */
+        boolean start() {
+            try {
+                validationPool.execute(this);
+                return true;
+            } catch (RejectedExecutionException e) {
+                metrics.increment(Count.CONTRACT_BUSY);
+                return false;
+            }
+        }
+
+        @Override public void run() {
+            try {
+                T outcome = task.get();
+                report(() -> onSuccess.accept(outcome));
+            } catch (RuntimeException | StackOverflowError e) {
+                report(() -> onFailure.accept(e));
+            }
+        }
+
+        private void report(Runnable notification) {
+            eventLoop.execute(() -> {
+                if (!isCancelled) {
+                    notification.run();
                 }
             });
-        } catch (RejectedExecutionException e) {
-            metrics.increment(Count.CONTRACT_BUSY);
-            onRejected.run();
+        }
+
+        @Override public void cancel() {
+            isCancelled = true;
+            if (validationPool.remove(this)) {
+                metrics.increment(Count.CONTRACT_CANCELLED);
+            }
         }
     }
 
@@ -197,8 +231,7 @@
                 onValidated.accept(true);
                 return;
             }
-            // If the queue is full, the result is served without validation, as the backend has already done the work.
-            runInPool(() -> firstFault(result), fault -> {
+            boolean isStarted = new PooledTask<>(() -> firstFault(result), fault -> {
                 if (fault != null) {
                     metrics.increment(Count.CONTRACT_RESULTS_BAD);
                     logFault("Backend result", fault);
@@ -208,7 +241,11 @@
                 metrics.increment(Count.EXCEPTIONS);
                 Logger.error(e, "Exception while validating a result");
                 onValidated.accept(!responseValidator.rejectsInvalidResults());
-            }, () -> onValidated.accept(true));
+            }).start();
+            // If the queue is full, the result is served without validation, as the backend has already done the work.
+            if (!isStarted) {
+                onValidated.accept(true);
+            }
         }
 
         /** Returns the first fault of a result; null if there is none or the step limit is exceeded. */
--- a/src/test/java/badgermux/it/InProcessDispatcher.java
+++ b/src/test/java/badgermux/it/InProcessDispatcher.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -176,6 +177,15 @@
         return contained[0];
     }
 
+    /** Waits until all input has been read that had arrived before the call. */
+    void awaitInputRead() throws Exception {
+        CountDownLatch read = new CountDownLatch(1);
+        runOnEventLoop(() -> deadlines.scheduleAfterNextRound(read::countDown));
+        if (!read.await(FakeServer.TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+            throw new AssertionError("input not read in time");
+        }
+    }
+
     /** Runs a task on the event loop, which does nothing else meanwhile, and waits until it is done. */
     void runOnEventLoop(EventLoopTask task) throws Exception {
         eventLoop.submit(() -> {
