FrontendConnection: time of input behind other requests counts from its arrival

Callers saw: a third command sent at once was told 1.95 s of 2 s after it had waited for 0.4 s behind two others, as further input came meanwhile. A backend may then be given more time than the client has.

Cause: a request's time counted from the connection's latest read, whichever request that belonged to.

Evidence: the new test says "1952259 us are left" on the code before; 1.6 s are the most that can be.

Change: while input is unread, the earlier arrival stays in force. Never too late; too early for a client that sends ahead without pause, whose requests are then refused sooner than needed.

--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -135,10 +135,12 @@
         isReceivingInPieces |= receivingRequest != null && now - lastReadMicros > SEPARATE_SEND_GAP_MICROS;
         lastReadMicros = now;
         // The client's deadline counts from its last byte, which may have arrived before this read.
-        arrivalMicros = frontend.connections().inputReadUntilMicros();
+        long readArrivalMicros = frontend.connections().inputReadUntilMicros();
         if (mayReadQueuedInput) {
-            arrivalMicros = Math.min(arrivalMicros, earliestArrivalMicros);
+            readArrivalMicros = Math.min(readArrivalMicros, earliestArrivalMicros);
         }
+        // Input from earlier reads that waits behind a queued request arrived no later than then.
+        arrivalMicros = unreadInput.isReadable() ? Math.min(arrivalMicros, readArrivalMicros) : readArrivalMicros;
         unreadInput.discardReadBytes().writeBytes(in);
         in.release();
         processInput();
--- a/src/test/java/badgermux/it/RequestLifetimeIT.java
+++ b/src/test/java/badgermux/it/RequestLifetimeIT.java
@@ -24,6 +24,7 @@
 
     /** By the protocol an answer is lost if it comes later than this after the client's time. */
     private static final int LOST_AFTER_MILLIS = 500;
+    private static final int WAIT_MILLIS = 400;
     /** How long after SIGTERM the last answers are given, with classes of 5 s: 0.4 s before SIGKILL. */
     private static final long FINAL_ANSWER_DELAY_MICROS = 3_300_000;
 
@@ -118,4 +119,22 @@
         assertEquals(503, client.read().status());
         assertTrue(System.nanoTime() - startNanos < 400_000_000L, "before SIGKILL");
     }
+
+    /** Guards against a deadline that starts anew with each input: what waited behind other requests was given too much time. */
+    @Test void deadlineCountsWhileInputWaitsBehindOtherRequests() throws Exception {
+        client.send(Client.request("/preview", "5000m", "", "") + Client.request("/preview", "5000m", "", "")
+            + Client.request("/preview", "2000m", "", ""));
+        long first = dispatcher.awaitRequest();
+        TimeUnit.MILLISECONDS.sleep(WAIT_MILLIS);     // how long the third request waits
+        client.send("POST /pre");
+        dispatcher.awaitInputRead();
+        dispatcher.runOnEventLoop(() -> dispatcher.engine.refuse(first, 0));
+        assertEquals(503, client.read().status());
+        long second = dispatcher.awaitRequest();
+        dispatcher.runOnEventLoop(() -> dispatcher.engine.refuse(second, 0));
+        assertEquals(503, client.read().status());
+        dispatcher.awaitRequest();
+        dispatcher.runOnEventLoop(() -> assertTrue(dispatcher.lastRemainingMicros() < (2_000 - WAIT_MILLIS) * 1000L,
+            dispatcher.lastRemainingMicros() + " us are left"));
+    }
 }
