MessageHead: kept as its text, as a head of short fields took many times its bytes

Cause: each header line was an object and three strings, held until the final answer: over half a megabyte for a head of 16 KiB, in no account.

Change: a head is one string that is searched with each call. RecentRequests counts heads, too.

--- a/src/main/java/badgermux/gate/RecentRequests.java
+++ b/src/main/java/badgermux/gate/RecentRequests.java
@@ -10,22 +10,27 @@
     private static final int MAX_BODY_BYTES = 8 << 10;
     private static final int MAX_TOTAL_BYTES = 512 << 10;
 
-    private final ArrayDeque<HttpRequest> requests = new ArrayDeque<>();
+    /** A request, and how many bytes it holds with its head. */
+    private record Entry(HttpRequest request, int bytes) { }
+
+    private final ArrayDeque<Entry> entries = new ArrayDeque<>();
     private int totalBytes;
 
-    void add(HttpRequest request) {
+    /** Adds a request, whose head takes {@code headBytes}. */
+    void add(HttpRequest request, int headBytes) {
         if (request.body().length > MAX_BODY_BYTES) {
             return;
         }
-        requests.addLast(request);
-        totalBytes += request.body().length;
-        while (requests.size() > MAX_REQUESTS || totalBytes > MAX_TOTAL_BYTES) {
-            totalBytes -= requests.removeFirst().body().length;
+        Entry entry = new Entry(request, headBytes + request.body().length);
+        entries.addLast(entry);
+        totalBytes += entry.bytes();
+        while (entries.size() > MAX_REQUESTS || totalBytes > MAX_TOTAL_BYTES) {
+            totalBytes -= entries.removeFirst().bytes();
         }
     }
 
     /** Returns a copy of the requests, oldest first. */
     List<HttpRequest> all() {
-        return List.copyOf(requests);
+        return entries.stream().map(Entry::request).toList();
     }
 }
--- a/src/main/java/badgermux/http/MessageHead.java
+++ b/src/main/java/badgermux/http/MessageHead.java
@@ -6,24 +6,24 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 
-/** The start line and the header lines of a message. The text is decoded as ISO 8859-1, so each char is one byte. */
+/**
+ * The start line and the header lines of a message. The text is decoded as ISO 8859-1, so each char is one byte. It is kept as
+ * one string and searched with each call: objects for each line would take many times the memory of short ones.
+ */
 public final class MessageHead {
-    /** A header line; {@code text} is the line as received. */
-    private record HeaderLine(String name, String value, String text) { }
-
     private static final String CRLF = "\r\n";
     /** Compiled once, as a process that has just started interprets its code and compiles a pattern slowly. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
     /** Characters that a token may not contain (RFC 9110, 5.6.2). */
     private static final String DELIMITERS = "()<>@,;:\\\"/[]?={}";
 
+    /** All lines without the end of the last one. */
+    private final String text;
     private final String startLine;
-    private final int size;
-    private final List<HeaderLine> lines = new ArrayList<>();
 
-    private MessageHead(String startLine, int size) {
-        this.startLine = startLine;
-        this.size = size;
+    private MessageHead(String text) {
+        this.text = text;
+        startLine = text.substring(0, lineEnd(0));
     }
 
     /**
@@ -32,33 +32,36 @@
      * @throws InvalidMessageException with status 400 if a header line is malformed
      */
     static MessageHead parse(String text) throws InvalidMessageException {
-        int end = lineEnd(text, 0);
-        MessageHead head = new MessageHead(text.substring(0, end), text.length());
-        while (end < text.length()) {
-            int start = end + CRLF.length();
-            end = lineEnd(text, start);
-            head.addLine(text.substring(start, end));
+        MessageHead head = new MessageHead(text);
+        for (int start = head.firstHeaderLine(); start < text.length(); start = head.nextLine(start)) {
+            int colon = text.indexOf(':', start);
+            if (colon <= start || colon > head.lineEnd(start) || !isToken(text, start, colon)) {
+                throw new InvalidMessageException(400, "malformed header line");
+            }
         }
         return head;
     }
 
+    /** Returns the index at which the first header line starts; the length of the text or more if there is none. */
+    private int firstHeaderLine() {
+        return startLine.length() + CRLF.length();
+    }
+
+    /** Returns the index at which the line behind the one at {@code start} starts; more than the text's length after the last. */
+    private int nextLine(int start) {
+        return lineEnd(start) + CRLF.length();
+    }
+
     /** Returns where the line that starts at an index ends: before the next CRLF, or at the end of the text. */
-    private static int lineEnd(String text, int start) {
+    private int lineEnd(int start) {
         int end = text.indexOf(CRLF, start);
         return end < 0 ? text.length() : end;
     }
 
-    private void addLine(String line) throws InvalidMessageException {
-        int colon = line.indexOf(':');
-        if (colon <= 0 || !isToken(line.substring(0, colon))) {
-            throw new InvalidMessageException(400, "malformed header line");
-        }
-        lines.add(new HeaderLine(line.substring(0, colon), line.substring(colon + 1).strip(), line));
-    }
-
-    private static boolean isToken(String name) {
-        for (int i = 0; i < name.length(); i++) {
-            char c = name.charAt(i);
+    /** Whether the part of a text from {@code start} to {@code end} has no character that a token may not contain. */
+    private static boolean isToken(String text, int start, int end) {
+        for (int i = start; i < end; i++) {
+            char c = text.charAt(i);
             if (c <= ' ' || c >= 127 || DELIMITERS.indexOf(c) >= 0) {
                 return false;
             }
@@ -68,7 +71,7 @@
 
     /** Returns the length of the head in bytes, without the empty line at its end. */
     public int size() {
-        return size;
+        return text.length();
     }
 
     /** Returns the request line or the status line. */
@@ -78,30 +81,40 @@
 
     /** Returns the first value of a header; null if it is absent. */
     public String get(String name) {
-        for (HeaderLine line : lines) {
-            if (line.name.equalsIgnoreCase(name)) {
-                return line.value;
-            }
-        }
-        return null;
+        int start = findLine(name, firstHeaderLine());
+        return start < 0 ? null : value(name, start);
     }
 
     /** Returns all values of a header in their order; an empty list if it is absent. */
     public List<String> values(String name) {
-        List<String> values = List.of();
-        for (HeaderLine line : lines) {
-            if (line.name.equalsIgnoreCase(name)) {
-                if (values.isEmpty()) {
-                    values = List.of(line.value);
-                } else {
-                    values = new ArrayList<>(values);
-                    values.add(line.value);
-                }
-            }
+        int start = findLine(name, firstHeaderLine());
+        if (start < 0) {
+            return List.of();
+        }
+        List<String> values = new ArrayList<>(1);
+        while (start >= 0) {
+            values.add(value(name, start));
+            start = findLine(name, nextLine(start));
         }
         return values;
     }
 
+    /** Returns the start of the next line of a header, from the line at {@code start} on; -1 if there is none. */
+    private int findLine(String name, int start) {
+        for (int line = start; line < text.length(); line = nextLine(line)) {
+            int colon = line + name.length();
+            if (text.regionMatches(true, line, name, 0, name.length()) && colon < text.length() && text.charAt(colon) == ':') {
+                return line;
+            }
+        }
+        return -1;
+    }
+
+    /** Returns the value of the header line at {@code start}. */
+    private String value(String name, int start) {
+        return text.substring(start + name.length() + 1, lineEnd(start)).strip();
+    }
+
     /** Whether a comma-separated header contains an item, ignoring case. */
     public boolean hasListItem(String name, String expectedItem) {
         for (String value : values(name)) {
@@ -116,9 +129,10 @@
 
     /** Appends the header lines as received, except those with the given names (in lower case). */
     public void appendHeaderLines(StringBuilder target, Set<String> excludedNames) {
-        for (HeaderLine line : lines) {
-            if (!excludedNames.contains(line.name.toLowerCase(Locale.ROOT))) {
-                target.append(line.text).append("\r\n");
+        for (int start = firstHeaderLine(); start < text.length(); start = nextLine(start)) {
+            String name = text.substring(start, text.indexOf(':', start));
+            if (!excludedNames.contains(name.toLowerCase(Locale.ROOT))) {
+                target.append(text, start, lineEnd(start)).append(CRLF);
             }
         }
     }
@@ -132,7 +146,7 @@
         String[] words = startLine.split(" ", -1);
         boolean hasVersion = words.length == 3 && words[2].equals("HTTP/1.1");
         boolean hasVisibleTarget = words.length > 1 && isVisibleText(words[1]);
-        if (!hasVersion || !hasVisibleTarget || !isToken(words[0]) || words[0].isEmpty() || words[1].isEmpty()) {
+        if (!hasVersion || !hasVisibleTarget || !isToken(words[0], 0, words[0].length()) || words[0].isEmpty() || words[1].isEmpty()) {
             throw new InvalidMessageException(400, "malformed request line");
         }
         return words;
--- a/src/test/java/badgermux/it/ClientMemoryIT.java
+++ b/src/test/java/badgermux/it/ClientMemoryIT.java
@@ -25,6 +25,8 @@
     private static final int CROWD_SIZE = 300;
     /** The memory limit of the deployment. */
     private static final long MAX_PROCESS_KB = 192 * 1024;
+    /** How many fields of four bytes a head of the longest size can hold beside the usual ones. */
+    private static final int SHORT_FIELDS = 4_000;
     /** How many clients of the crowd send at the same time. */
     private static final int SENDERS = 16;
 
@@ -73,11 +75,16 @@
 
     /** Checks that clients that behave are answered, and that the process has kept to its limit. */
     private void assertOthersAreServed() throws IOException, InterruptedException {
+        assertOthersAreServed("sound");
+    }
+
+    /** The same with this body in the requests. */
+    private void assertOthersAreServed(String body) throws IOException, InterruptedException {
         for (int i = 0; i < 20; i++) {
             try (Client other = program.client()) {
                 String id = Client.nextRequestId();
                 other.send("POST /preview HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id
-                    + "\r\nX-Timeout: 5000m\r\nContent-Length: 5\r\n\r\nsound");
+                    + "\r\nX-Timeout: 5000m\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
                 FakeServer.Exchange exchange = backend.take();
                 while (!id.equals(exchange.header("X-Request-ID"))) {
                     exchange = backend.take();
@@ -103,4 +110,29 @@
             + "Content-Length: 0\r\n\r\n" + "x".repeat(900_000));
         assertOthersAreServed();
     }
+
+    private static String shortFields(int count) {
+        return "a:\r\n".repeat(count);
+    }
+
+    /** Guards against heads kept as objects: a field of four bytes took many times its size, and a crowd of them the heap. */
+    @Test void headsOfShortFieldsBehindHalfABodyAreHeldAsTheyCame() throws IOException, InterruptedException {
+        sendFromCrowd(CROWD_SIZE, "POST /preview HTTP/1.1\r\nHost: h\r\nX-Request-ID: $id\r\nContent-Length: 60000\r\n"
+            + shortFields(SHORT_FIELDS) + "\r\n" + "x".repeat(30_000));
+        assertOthersAreServed();
+    }
+
+    /** The same while the requests wait for their answers. */
+    @Test void headsOfShortFieldsOfOpenRequestsAreHeldAsTheyCame() throws IOException, InterruptedException {
+        sendFromCrowd(CROWD_SIZE, "POST /preview HTTP/1.1\r\nHost: h\r\nX-Request-ID: $id\r\nContent-Length: 0\r\n"
+            + shortFields(SHORT_FIELDS) + "\r\n");
+        assertOthersAreServed();
+    }
+
+    /** Guards against uploads that stop half way and hold all memory that there is for bodies: others were refused. */
+    @Test void stalledUploadsTurnNobodyAway() throws IOException, InterruptedException {
+        sendFromCrowd(CROWD_SIZE, "POST /preview HTTP/1.1\r\nHost: h\r\nX-Request-ID: $id\r\nContent-Length: 65536\r\n\r\n"
+            + "x".repeat(60_000));
+        assertOthersAreServed("x".repeat(60_000));
+    }
 }
