MessageHead: an empty last line is malformed again

No message reaches the parser so, as the reader cuts a head at its first empty line. The loop over the lines looks at the empty last one again; the unit tests pass.

--- a/src/main/java/badgermux/http/MessageHead.java
+++ b/src/main/java/badgermux/http/MessageHead.java
@@ -33,7 +33,8 @@
      */
     static MessageHead parse(String text) throws InvalidMessageException {
         MessageHead head = new MessageHead(text);
-        for (int start = head.firstHeaderLine(); start < text.length(); start = head.nextLine(start)) {
+        // A line may be empty, also the last one: it is malformed.
+        for (int start = head.firstHeaderLine(); start <= text.length(); start = head.nextLine(start)) {
             int colon = text.indexOf(':', start);
             if (colon <= start || colon > head.lineEnd(start) || !isToken(text, start, colon)) {
                 throw new InvalidMessageException(400, "malformed header line");
