SentRequestIds: what may have run does not run again under the same id

Cause: an id was known until the request's end only, whatever had been sent.

The engine tells whether an attempt may have run. New: ids_repeated.

--- a/src/main/java/badgermux/DispatcherProcess.java
+++ b/src/main/java/badgermux/DispatcherProcess.java
@@ -166,7 +166,8 @@
         DispatchPolicy.Settings settings = config.settings();
         settings.holdsUntilListConfirmed = true;
         DescriptorBudget budget = DescriptorBudget.of(config.maxDescriptors(), console != null);
-        Engine<ForwardedRequest> engine = new Engine<>(clock::nowMicros, deadlines, metrics, settings.maxAttempts);
+        Engine<ForwardedRequest> engine = new Engine<>(clock::nowMicros, deadlines, metrics, settings.maxAttempts,
+            settings.rejectedMayHaveRun);
         HttpBackendClient backends = new HttpBackendClient(loop, deadlines, clock::nowMicros, metrics, engine,
             config.connectTimeoutMicros(), settings.idleTimeoutMicros, budget.backendConnections(),
             settings.reportMode == DispatchPolicy.ReportMode.ON_PROBE);
--- a/src/main/java/badgermux/core/Engine.java
+++ b/src/main/java/badgermux/core/Engine.java
@@ -37,6 +37,8 @@
         private final List<Long> attemptHandles = new ArrayList<>(2);
         private Deadlines.Deadline answerDeadline;
         private int attemptsInFlight;
+        /** Attempts that have no outcome which proves that they did not run. */
+        private int attemptsThatMayHaveRun;
         private boolean isClosed;
         private boolean hasTimedOut;
 
@@ -79,14 +81,21 @@
     private final Deadlines deadlines;
     private final Metrics metrics;
     private final int maxAttempts;
+    private final boolean rejectedMayHaveRun;
     private DispatchPolicy policy;
     private BackendClient<P> backendClient;
     private Runnable backendListWatcher;
     private boolean isDispatchingEvents;
     private int openRequestCount;
 
-    /** Creates an engine that makes at most {@code maxAttempts} attempts for a request. */
+    /** Creates an engine that makes at most {@code maxAttempts} attempts for a request, and rejected attempts have not run. */
     public Engine(LongSupplier clock, Deadlines deadlines, Metrics metrics, int maxAttempts) {
+        this(clock, deadlines, metrics, maxAttempts, false);
+    }
+
+    /** The same where it is set whether an attempt that a backend rejected may have run. */
+    public Engine(LongSupplier clock, Deadlines deadlines, Metrics metrics, int maxAttempts, boolean rejectedMayHaveRun) {
+        this.rejectedMayHaveRun = rejectedMayHaveRun;
         this.clock = clock;
         this.deadlines = deadlines;
         this.metrics = metrics;
@@ -137,15 +146,26 @@
         return id;
     }
 
-    /** Closes a request whose client disconnected before its final answer. */
-    public void clientDisconnected(long id) {
+    /**
+     * Closes a request whose client disconnected before its final answer.
+     *
+     * @return whether an attempt may have run, or may still run
+     */
+    public boolean clientDisconnected(long id) {
         PendingRequest<P> request = requests.get(id);
         if (request == null || request.isClosed) {
-            return;
+            return false;
         }
         metrics.increment(Count.CLIENTS_GONE);
         closeRequest(request);
         notifyRequestClosed(id);
+        return request.attemptsThatMayHaveRun > 0;
+    }
+
+    /** Whether an attempt of a request may have run, or may still run; false for a request that is not known any more. */
+    public boolean mayHaveRun(long id) {
+        PendingRequest<P> request = requests.get(id);
+        return request != null && request.attemptsThatMayHaveRun > 0;
     }
 
     /** Ends a request in the policy that was closed without one of its decisions, as if its client had disconnected. */
@@ -294,6 +314,9 @@
         metrics.increment(Count.valueOf("FETCHES_" + outcome));
         PendingRequest<P> request = requests.get(attempt.requestId);
         request.attemptsInFlight--;
+        if (outcome.neverRan() && !(rejectedMayHaveRun && outcome == Outcome.REJECTED)) {
+            request.attemptsThatMayHaveRun--;
+        }
         request.hasTimedOut |= outcome == Outcome.TIMED_OUT;
         if (outcome == Outcome.SERVED && result == null && !request.isClosed) {
             failRequest(request, false);
@@ -398,6 +421,7 @@
         }
         Attempt attempt = new Attempt(requestId, request.attemptHandles.size(), backendId);
         request.attemptsInFlight++;
+        request.attemptsThatMayHaveRun++;
         if (!request.mayAttempt(clock.getAsLong(), maxAttempts)) {
             request.attemptHandles.add(0L);
             dispatchEvent(requestId, () -> finishAttempt(attempt, Outcome.MOOT, null, null));
--- a/src/main/java/badgermux/front/ClientRequest.java
+++ b/src/main/java/badgermux/front/ClientRequest.java
@@ -125,6 +125,10 @@
             frontend.metrics().increment(Count.IDS_IN_USE);
             throw new InvalidMessageException(409, "X-Request-ID is in use");
         }
+        if (frontend.sentIds().contains(fields.id())) {
+            frontend.metrics().increment(Count.IDS_REPEATED);
+            throw new InvalidMessageException(409, "X-Request-ID was used for a request that must not run again");
+        }
         connection.validRequestReceived();
         if (frontend.isAtRequestLimit()) {
             frontend.metrics().increment(Count.CLIENT_CONNECTIONS_OVER_CAP);
@@ -239,6 +243,9 @@
             new ForwardedRequest(fields.id(), fields.requestLine(), fields.headers(), content, responseContract);
         engineRequestId = frontend.engine().submit(this, forwarded, requestClass, frontend.tenantIndex(fields.tenant()),
             fields.slots(), deadlineMicros(), isDeadlineKnown);
+        if (!isEnded && !frontend.isRepeatable(requestClass)) {
+            frontend.unrepeatableRequestSubmitted(fields.id());
+        }
     }
 
     /** Returns the earliest time at which the client can give up. */
@@ -285,6 +292,7 @@
             return;
         }
         isEnded = true;
+        rememberIfSent(engineRequestId != 0 && frontend.engine().mayHaveRun(engineRequestId));
         endWait();
         if (validation != null) {
             validation.cancel();
@@ -304,9 +312,15 @@
         if (isEnded) {
             return;
         }
+        boolean mayHaveRun = engineRequestId != 0 && frontend.engine().clientDisconnected(engineRequestId);
         end();
-        if (engineRequestId != 0) {
-            frontend.engine().clientDisconnected(engineRequestId);
+        rememberIfSent(mayHaveRun);
+    }
+
+    /** Remembers the id of a request that may have run and must not run again. */
+    private void rememberIfSent(boolean mayHaveRun) {
+        if (mayHaveRun && !frontend.isRepeatable(requestClass)) {
+            frontend.sentIds().add(fields.id());
         }
     }
 }
--- a/src/main/java/badgermux/front/Frontend.java
+++ b/src/main/java/badgermux/front/Frontend.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -55,6 +56,8 @@
     private final List<Long> classDeadlineMicros;
     /** Indexes of the request classes that need an Idempotency-Key. */
     private final Set<Integer> keyedClasses;
+    /** Indexes of the request classes that may run any number of times. */
+    private final Set<Integer> repeatableClasses;
     private final BooleanSupplier readiness;
     private final long retryAfterMicros;
     private final long finalAnswerDelayMicros;
@@ -62,6 +65,11 @@
     private final RequestValidator requestValidator;
     /** The ids of all requests that have no final answer yet. */
     private final Set<String> openRequestIds = new HashSet<>();
+    /** The ids of open requests that were submitted and are not repeatable. */
+    private final Set<String> openUnrepeatableIds = new HashSet<>();
+    private final SentRequestIds sentIds = new SentRequestIds();
+    /** Gets the id of each request that is submitted and is not repeatable. */
+    private Consumer<String> unrepeatableIdListener = id -> { };
     /** Requests that wait for their validation, or for their client's disconnect, and are not known to the engine yet. */
     private final Set<ClientRequest> waitingRequests = new LinkedHashSet<>();
     private final ClientConnections connections;
@@ -103,8 +111,8 @@
         classNames = settings.classes.stream().map(DispatchPolicy.RequestClass::name).toList();
         tenantNames = settings.tenants.stream().map(DispatchPolicy.Tenant::name).toList();
         classDeadlineMicros = settings.classes.stream().map(DispatchPolicy.RequestClass::clientTimeoutMicros).toList();
-        keyedClasses = IntStream.range(0, classNames.size())
-            .filter(c -> settings.classes.get(c).effect() == DispatchPolicy.Effect.BY_KEY).boxed().collect(Collectors.toSet());
+        keyedClasses = classesOf(settings, DispatchPolicy.Effect.BY_KEY);
+        repeatableClasses = classesOf(settings, DispatchPolicy.Effect.REPEATABLE);
         retryAfterMicros = Math.min(RETRY_AFTER_MICROS, settings.maxRetryAfterMicros);
         finalAnswerDelayMicros = finalAnswerDelayMicros(
             classDeadlineMicros.stream().mapToLong(Long::longValue).max().orElse(MAX_KILL_DEADLINE_MICROS));
@@ -116,6 +124,11 @@
         acceptor = new Acceptor(clock, deadlines, metrics, connections);
     }
 
+    private static Set<Integer> classesOf(DispatchPolicy.Settings settings, DispatchPolicy.Effect effect) {
+        return IntStream.range(0, settings.classes.size()).filter(c -> settings.classes.get(c).effect() == effect).boxed()
+            .collect(Collectors.toSet());
+    }
+
     /**
      * Returns how long after SIGTERM all open requests get their final answers, in microseconds: shortly before SIGKILL,
      * whose time depends on the longest deadline.
@@ -189,6 +202,23 @@
         acceptor.otherProcessReportsQueue(queuedSinceMicros);
     }
 
+    /** Sets who gets the id of each request that is submitted and must not run again, for other processes. */
+    public void setUnrepeatableIdListener(Consumer<String> listener) {
+        unrepeatableIdListener = listener;
+    }
+
+    /** Returns the ids of requests that must not run again: of those that may have run, and of open ones. */
+    public List<String> unrepeatableIds() {
+        List<String> ids = sentIds.all();
+        ids.addAll(openUnrepeatableIds);
+        return ids;
+    }
+
+    /** Another process of this dispatcher has taken a request of this id, which must not run again. */
+    public void otherProcessReportsId(String id) {
+        sentIds.add(id);
+    }
+
     /** Accepts connections again after {@link #handOver}. */
     public void cancelHandover() {
         if (isHandedOver && !isDraining) {
@@ -277,6 +307,23 @@
 
     void unregisterRequest(String id) {
         openRequestIds.remove(id);
+        openUnrepeatableIds.remove(id);
+    }
+
+    /** Returns the ids of requests that may have run and must not run again. */
+    SentRequestIds sentIds() {
+        return sentIds;
+    }
+
+    /** A request that is not repeatable has been submitted and is open. */
+    void unrepeatableRequestSubmitted(String id) {
+        openUnrepeatableIds.add(id);
+        unrepeatableIdListener.accept(id);
+    }
+
+    /** Whether the requests of a class may run any number of times. */
+    boolean isRepeatable(int requestClass) {
+        return repeatableClasses.contains(requestClass);
     }
 
     /** A request waits before it is submitted to the engine. */
