HandoverCoordinator: linked processes tell each other the ids that must not run again

Cause: ids of requests were known to the process only that took them.

Evidence: the new HotRestartIT test fails on (504 in place of 409) for a request from before the upgrade, one that runs during it and one that the previous process takes after the next one serves; now it passes for all.

Change: a line SENT with all ids when the link comes up, then one with each request that is not repeatable, as it is submitted. Older versions ignore it.

--- a/src/main/java/badgermux/HandoverCoordinator.java
+++ b/src/main/java/badgermux/HandoverCoordinator.java
@@ -30,6 +30,7 @@
 import java.nio.file.attribute.PosixFilePermissions;
 import java.security.MessageDigest;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
@@ -44,8 +45,9 @@
  * <p>The next process connects to the console and sends TAKEOVER; the previous one replies with its {@link HandoverState}.
  * Once the next process serves, it sends SERVING; the previous one stops accepting clients and replies with LEFT and its
  * learned state. Both send OPEN, with the number of their open requests and the Unix time in milliseconds since when clients
- * may wait in the listening socket's queue (0 if unknown; missing in older versions), as a heartbeat, and OUT and BACK for
- * cordons.
+ * may wait in the listening socket's queue (0 if unknown; missing in older versions), as a heartbeat, OUT and BACK for
+ * cordons, and SENT with the ids of requests that must not run again: all that are known when the link is established, then
+ * each one as it is submitted. A version that does not know SENT ignores it.
  */
 final class HandoverCoordinator implements HandoverLink.Listener {
     /** How long a new process waits for the reply to TAKEOVER. */
@@ -124,6 +126,7 @@
         engine = newEngine;
         console = newConsole;
         maxDescriptors = descriptorLimit;
+        frontend.setUnrepeatableIdListener(id -> broadcast("SENT " + id));
         applyDescriptorBudget();
         if (previousLink != null) {
             sendHeartbeat();
@@ -264,6 +267,7 @@
         cordons.absences().forEach((id, absence) -> returnedMillis.put(id,
             new long[] {clock.toUnixMillis(absence.cordonedAt()), clock.toUnixMillis(absence.returnedAt())}));
         nextLink.send(STATE_REPLY_PREFIX + new HandoverState(discovery.encodeList(), cordonedMillis, returnedMillis).encode());
+        nextLink.send("SENT " + String.join(" ", frontend.unrepeatableIds()));
         Logger.info("The next process has connected");
         sendHeartbeat();
     }
@@ -328,6 +332,10 @@
                 discovery.republish(parts[1]);
                 forward(link, line);
             }
+            case "SENT" -> {
+                Arrays.stream(parts).skip(1).forEach(frontend::otherProcessReportsId);
+                forward(link, line);
+            }
             default -> Logger.warn("Unknown message of the other process: {}", parts[0]);
         }
     }
--- a/src/test/java/badgermux/it/HotRestartIT.java
+++ b/src/test/java/badgermux/it/HotRestartIT.java
@@ -3,6 +3,7 @@
 import static badgermux.it.Program.member;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -158,6 +159,38 @@
         }
     }
 
+    /**
+     * Guards against a second run at the other process: of a request whose client left before the restart, during it, and of
+     * one that the previous process takes once the next one serves.
+     */
+    @Test void requestOfPreviousProcessIsNotSentAgainByNext() throws IOException, InterruptedException {
+        Supervisor.Instance previous = supervisor.start();
+        previous.awaitReady();
+        previous.callConsole("OFFLINE s-2");
+        String first = Client.request("/pay", "5000m", "", "");
+        String second = Client.request("/pay", "5000m", "", "");
+        String third = Client.request("/pay", "5000m", "", "");
+        Client leaving = supervisor.client().send(first);
+        firstBackend.take().sendStarted();
+        leaving.close();
+        Await.until("the first client has left", () -> previous.dumpValue("current") == 0);
+        Client running = supervisor.client().send(second);
+        firstBackend.take().sendStarted();
+        Client idle = supervisor.client();
+        assertEquals(200, idle.get("/healthz").status());
+        supervisor.start().awaitLog("Serving");
+        idle.send(third);
+        firstBackend.take().sendStarted();
+        running.close();
+        idle.close();
+        for (String request : List.of(first, second, third)) {
+            try (Client again = supervisor.client().send(request)) {
+                assertEquals(409, again.read().status());
+            }
+        }
+        assertNull(firstBackend.poll());
+    }
+
     @Test void sharesCordonsBetweenBothProcesses() throws IOException, InterruptedException {
         Supervisor.Instance previous = supervisor.start();
         previous.awaitReady();
