--- a/src/main/java/badgermux/front/ClientRequest.java
+++ b/src/main/java/badgermux/front/ClientRequest.java
@@ -98,7 +98,7 @@
             return 0;
         }
         // The header lines of a taken request are held once more, as they are forwarded.
-        return content == null ? head.size() + body.size() : 2L * head.size() + content.length;
+        return content == null ? head.heldBytes() + body.size() : 2L * head.heldBytes() + content.length;
     }
 
     /** The last byte has been read; {@code atMicros} is the earliest time at which it can have arrived. */
--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -321,7 +321,7 @@
         }
         MessageHead head = currentRequest.head();
         String[] line = head.requestLine();
-        keepAlive = head.isKeepAlive();
+        keepAlive = !isInputEnded;
         // RFC 9112, 3.2: a request without Host is invalid.
         if (head.get("Host") == null) {
             throw new InvalidMessageException(400, "Host is missing");
--- a/src/main/java/badgermux/front/RequestFields.java
+++ b/src/main/java/badgermux/front/RequestFields.java
@@ -42,7 +42,7 @@
      */
     static RequestFields parse(MessageHead head, String method, String target) throws InvalidMessageException {
         for (String name : SINGLE_VALUED) {
-            if (head.values(name).size() > 1) {
+            if (head.isRepeated(name)) {
                 throw new InvalidMessageException(400, name + " stands there twice");
             }
         }
--- a/src/main/java/badgermux/gate/ContractValidator.java
+++ b/src/main/java/badgermux/gate/ContractValidator.java
@@ -106,7 +106,7 @@
             return null;
         }
         HttpRequest request = new HttpRequest(method, target, head::values, body);
-        recentRequests.add(request, head.size());
+        recentRequests.add(request, head.heldBytes());
         metrics.increment(Count.CONTRACT_JUDGED);
         if (body.length <= MAX_EVENT_LOOP_BODY_BYTES) {
             try {
--- a/src/main/java/badgermux/http/MessageHead.java
+++ b/src/main/java/badgermux/http/MessageHead.java
@@ -1,6 +1,7 @@
 package badgermux.http;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -8,7 +9,7 @@
 
 /**
  * The start line and the header lines of a message. The text is decoded as ISO 8859-1, so each char is one byte. It is kept as
- * one string and searched with each call: objects for each line would take many times the memory of short ones.
+ * one string with the positions of its lines: objects for each line would take many times the memory of short ones.
  */
 public final class MessageHead {
     private static final String CRLF = "\r\n";
@@ -16,49 +17,65 @@
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
     /** Characters that a token may not contain (RFC 9110, 5.6.2). */
     private static final String DELIMITERS = "()<>@,;:\\\"/[]?={}";
+    /** Initial capacity of the positions: most heads have fewer header lines. */
+    private static final int INITIAL_LINES = 16;
+    /** A position is kept as a char. */
+    private static final int MAX_LENGTH = Character.MAX_VALUE;
 
     /** All lines without the end of the last one. */
     private final String text;
     private final String startLine;
+    /** Where each header line starts. */
+    private char[] lineStarts = new char[INITIAL_LINES];
+    /** The length of the name in each header line. */
+    private char[] nameLengths = new char[INITIAL_LINES];
+    private int lineCount;
 
-    private MessageHead(String text) {
+    private MessageHead(String text) throws InvalidMessageException {
         this.text = text;
-        startLine = text.substring(0, lineEnd(0));
+        int start = lineEnd(text, 0);
+        startLine = text.substring(0, start);
+        while (start < text.length()) {
+            start += CRLF.length();
+            int end = lineEnd(text, start);
+            addLine(start, end);
+            start = end;
+        }
     }
 
     /**
      * Parses a head without the empty line at its end. The start line is checked by {@link #requestLine} or {@link #status}.
      *
-     * @throws InvalidMessageException with status 400 if a header line is malformed
+     * @throws InvalidMessageException with status 400 if a header line is malformed, and with 431 if the head is longer than
+     *                                 64 KiB
      */
     static MessageHead parse(String text) throws InvalidMessageException {
-        MessageHead head = new MessageHead(text);
-        // A line may be empty, also the last one: it is malformed.
-        for (int start = head.firstHeaderLine(); start <= text.length(); start = head.nextLine(start)) {
-            int colon = text.indexOf(':', start);
-            if (colon <= start || colon > head.lineEnd(start) || !isToken(text, start, colon)) {
-                throw new InvalidMessageException(400, "malformed header line");
-            }
+        if (text.length() > MAX_LENGTH) {
+            throw new InvalidMessageException(431, "head too long");
         }
-        return head;
-    }
-
-    /** Returns the index at which the first header line starts; the length of the text or more if there is none. */
-    private int firstHeaderLine() {
-        return startLine.length() + CRLF.length();
-    }
-
-    /** Returns the index at which the line behind the one at {@code start} starts; more than the text's length after the last. */
-    private int nextLine(int start) {
-        return lineEnd(start) + CRLF.length();
+        return new MessageHead(text);
     }
 
     /** Returns where the line that starts at an index ends: before the next CRLF, or at the end of the text. */
-    private int lineEnd(int start) {
+    private static int lineEnd(String text, int start) {
         int end = text.indexOf(CRLF, start);
         return end < 0 ? text.length() : end;
     }
 
+    private void addLine(int start, int end) throws InvalidMessageException {
+        int colon = text.indexOf(':', start);
+        if (colon <= start || colon >= end || !isToken(text, start, colon)) {
+            throw new InvalidMessageException(400, "malformed header line");
+        }
+        if (lineCount == lineStarts.length) {
+            lineStarts = Arrays.copyOf(lineStarts, 2 * lineCount);
+            nameLengths = Arrays.copyOf(nameLengths, 2 * lineCount);
+        }
+        lineStarts[lineCount] = (char) start;
+        nameLengths[lineCount] = (char) (colon - start);
+        lineCount++;
+    }
+
     /** Whether the part of a text from {@code start} to {@code end} has no character that a token may not contain. */
     private static boolean isToken(String text, int start, int end) {
         for (int i = start; i < end; i++) {
@@ -70,9 +87,9 @@
         return true;
     }
 
-    /** Returns the length of the head in bytes, without the empty line at its end. */
-    public int size() {
-        return text.length();
+    /** Returns how many bytes the head takes in memory. */
+    public int heldBytes() {
+        return text.length() + startLine.length() + Character.BYTES * (lineStarts.length + nameLengths.length);
     }
 
     /** Returns the request line or the status line. */
@@ -82,38 +99,46 @@
 
     /** Returns the first value of a header; null if it is absent. */
     public String get(String name) {
-        int start = findLine(name, firstHeaderLine());
-        return start < 0 ? null : value(name, start);
+        int line = findLine(name, 0);
+        return line < 0 ? null : value(line);
     }
 
     /** Returns all values of a header in their order; an empty list if it is absent. */
     public List<String> values(String name) {
-        int start = findLine(name, firstHeaderLine());
-        if (start < 0) {
+        int line = findLine(name, 0);
+        if (line < 0) {
             return List.of();
         }
         List<String> values = new ArrayList<>(1);
-        while (start >= 0) {
-            values.add(value(name, start));
-            start = findLine(name, nextLine(start));
+        while (line >= 0) {
+            values.add(value(line));
+            line = findLine(name, line + 1);
         }
         return values;
     }
 
-    /** Returns the start of the next line of a header, from the line at {@code start} on; -1 if there is none. */
-    private int findLine(String name, int start) {
-        for (int line = start; line < text.length(); line = nextLine(line)) {
-            int colon = line + name.length();
-            if (text.regionMatches(true, line, name, 0, name.length()) && colon < text.length() && text.charAt(colon) == ':') {
+    /** Whether a header stands there more than once. */
+    public boolean isRepeated(String name) {
+        int line = findLine(name, 0);
+        return line >= 0 && findLine(name, line + 1) >= 0;
+    }
+
+    /** Returns the index of the first header line with a name, from a line on; -1 if there is none. */
+    private int findLine(String name, int firstLine) {
+        for (int line = firstLine; line < lineCount; line++) {
+            if (nameLengths[line] == name.length() && text.regionMatches(true, lineStarts[line], name, 0, name.length())) {
                 return line;
             }
         }
         return -1;
     }
 
-    /** Returns the value of the header line at {@code start}. */
-    private String value(String name, int start) {
-        return text.substring(start + name.length() + 1, lineEnd(start)).strip();
+    private int endOf(int line) {
+        return line + 1 < lineCount ? lineStarts[line + 1] - CRLF.length() : text.length();
+    }
+
+    private String value(int line) {
+        return text.substring(lineStarts[line] + nameLengths[line] + 1, endOf(line)).strip();
     }
 
     /** Whether a comma-separated header contains an item, ignoring case. */
@@ -130,10 +155,10 @@
 
     /** Appends the header lines as received, except those with the given names (in lower case). */
     public void appendHeaderLines(StringBuilder target, Set<String> excludedNames) {
-        for (int start = firstHeaderLine(); start < text.length(); start = nextLine(start)) {
-            String name = text.substring(start, text.indexOf(':', start));
+        for (int line = 0; line < lineCount; line++) {
+            String name = text.substring(lineStarts[line], lineStarts[line] + nameLengths[line]);
             if (!excludedNames.contains(name.toLowerCase(Locale.ROOT))) {
-                target.append(text, start, lineEnd(start)).append(CRLF);
+                target.append(text, lineStarts[line], endOf(line)).append(CRLF);
             }
         }
     }
