--- a/src/test/java/badgermux/it/ClientFloodIT.java
+++ b/src/test/java/badgermux/it/ClientFloodIT.java
@@ -128,8 +128,14 @@
         return requests.toString();
     }
 
-    /** The same with sound requests under ever new names, many of which are sent ahead of their answers. */
+    /** The same with sound requests under ever new names, all sent ahead. */
     @Test void requestsSentAheadDoNotHoldUpOthers() throws IOException, InterruptedException {
+        startFlood(() -> soundRequests(100));
+        assertOthersAreAnsweredAtOnce();
+    }
+
+    /** The same with sound requests under ever new names, 500 of which are sent ahead of their answers. */
+    @Test void requestsSentAheadInBatchesDoNotHoldUpOthers() throws IOException, InterruptedException {
         startDaemon(() -> {
             try (Client client = program.client()) {
                 while (program.process.isAlive()) {
