SnapshotStore: a write compares what is stored, and leaves it where it is new

Without a link two processes went on undoing each other's changes for as long as both ran.

Cause: a write put all sections from the writer's memory in the place of the file, whatever it held by then, and two writers had one temporary file.

Change: under a lock on FILE.lock a write reads what is stored. A lock that is not to be had within 1 s is a 409, too.

--- a/src/main/java/badgermux/operator/SnapshotStore.java
+++ b/src/main/java/badgermux/operator/SnapshotStore.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
@@ -16,10 +17,14 @@
 
 /**
  * Holds the current snapshot and stores it in a file. A write goes to a temporary file in the same folder, is forced to disk and
- * renamed, so that a crash leaves either the old or the new file.
+ * renamed, so that a crash leaves either the old or the new file. Another process may write the same file: under a lock on a
+ * file beside it, a write first compares what is stored with what this process knows, and writes nothing where they differ.
  * Methods block and must be called by one thread; {@link #current} may be called by any.
  */
 public final class SnapshotStore {
+    /** How long a write waits for the lock, which other processes hold for the time of a write. */
+    private static final int LOCK_TIMEOUT_MILLIS = 1_000;
+    private static final int LOCK_RETRY_MILLIS = 5;
 
     /** Null where nothing is stored. */
     private final Path file;
@@ -133,8 +138,43 @@
         }
     }
 
-    private void writeIfKnown(Snapshot next) throws IOException {
-        write(next.text());
+    private void writeIfKnown(Snapshot next) throws IOException, SnapshotConflictException {
+        // Closing the lock file releases the lock.
+        try (FileChannel lockFile = FileChannel.open(sibling(".lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            awaitLock(lockFile);
+            Snapshot stored = readFile();
+            if (stored != null && !knownChecksums.contains(stored.checksum())) {
+                throw new SnapshotConflictException("another process has changed the stored settings; they are at revision "
+                    + stored.revision());
+            }
+            write(next.text());
+        } catch (SnapshotException e) {
+            throw new SnapshotConflictException(e.getMessage());
+        }
+    }
+
+    private static void awaitLock(FileChannel lockFile) throws IOException, SnapshotConflictException {
+        for (int waitedMillis = 0; waitedMillis < LOCK_TIMEOUT_MILLIS; waitedMillis += LOCK_RETRY_MILLIS) {
+            if (takeLock(lockFile)) {
+                return;
+            }
+            try {
+                Thread.sleep(LOCK_RETRY_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                break;
+            }
+        }
+        throw new SnapshotConflictException("another process is writing the stored settings");
+    }
+
+    /** Tries to take the lock; returns whether this store has it now. */
+    private static boolean takeLock(FileChannel lockFile) throws IOException {
+        try {
+            return lockFile.tryLock() != null;
+        } catch (OverlappingFileLockException e) {
+            return false;    // another store of this process has it
+        }
     }
 
     private Path sibling(String suffix) {
--- a/src/test/java/badgermux/it/SettingsHandoverIT.java
+++ b/src/test/java/badgermux/it/SettingsHandoverIT.java
@@ -291,6 +291,22 @@
 
     // ---- Without a link, and with versions that do not replicate
 
+    /** Guards against a process that writes its own settings over those that another one has stored. */
+    @Test void processesWithoutLinkDoNotOverwriteEachOther() throws Exception {
+        String options = "--snapshot " + snapshot;
+        try (Program first = new Program(folder, members, options); Program second = new Program(folder, members, options);
+                Client firstAdmin = first.adminClient(); Client secondAdmin = second.adminClient()) {
+            assertKept(firstAdmin.callAdmin("PUT", PREVIEWS, "", description("/preview", 640)));
+            Client.Response refused = secondAdmin.callAdmin("PUT", "/v1/zones", "", "{}");
+            assertEquals(409, refused.status(), refused.body());
+            assertEquals("application/problem+json", refused.header("Content-Type"));
+            assertNull(storedSection("zones"));
+            assertEquals(200, secondAdmin.callAdmin("GET", PREVIEWS, "", "").status(), "the stored settings are in force");
+            assertKept(secondAdmin.callAdmin("PUT", "/v1/zones", "", "{}"));
+        }
+        assertTrue(storedSection("zones") != null && storedSection("contracts") != null);
+    }
+
     /** Changes the stored settings as another process does. */
     private void storeUndescribed(String treatment) throws Exception {
         assertTrue(openStore().replace(openStore().current().with("contracts", JsonParser.parseString(
