AdminServer: its address passes on at a hot restart, and is tried again

After the previous one had ended, the admin API refused connections for as long as the process served.

Cause: the address was bound once, at the start, while the previous process had it; a failure was a line in the log and nothing else.

Evidence: SettingsHandoverIT#adminAddressPassesToNextProcessAndBack fails on (no "listens on" in the log of the next process), and so does #startWithoutItsAdminAddressSaysSoAndTriesAgain.

Where the next process claims the settings with the same address, the previous one stops listening as it grants them, and listens again when it takes them back. HEALTH says "200 ready, but the admin API can't listen on ADDRESS", as serving requests goes on; the gauge admin_listening and the log tell the same.

--- a/src/main/java/badgermux/AdminService.java
+++ b/src/main/java/badgermux/AdminService.java
@@ -165,8 +165,8 @@
 
     /** Returns what keeps operators from calling the admin API; null if nothing does or it is off. */
     String warning() {
-        return server == null || server.isListening() ? null
-            : "the admin API can't listen on " + Address.format(listenAddress);
+        return server != null && server.isAddressTaken() ? "the admin API can't listen on " + Address.format(listenAddress)
+            : null;
     }
 
     /** Stops accepting connections. */
@@ -227,9 +227,16 @@
     }
 
     @Override public void onOwnershipPassed(String ownerAddress) {
+        InetSocketAddress address = ownerAddress == null ? null : Address.parse(ownerAddress);
+        if (server != null && address != null && Address.overlap(address, server.address())) {
+            server.close();
+        }
     }
 
     @Override public void onOwnershipTaken() {
+        if (server != null) {
+            server.listen();
+        }
     }
 
     @Override public void onUnusable(String reason) {
--- a/src/main/java/badgermux/admin/AdminServer.java
+++ b/src/main/java/badgermux/admin/AdminServer.java
@@ -54,7 +54,8 @@
     private Channel listener;
     private Deadlines.Deadline listenRetry;
     private boolean isListening;
-    private boolean failureLogged;
+    /** Whether the last try to listen has failed. */
+    private boolean isAddressTaken;
     private int openConnections;
     private int pendingRequests;
 
@@ -99,12 +100,16 @@
         }
         if (failure == null) {
             isListening = true;
-            failureLogged = false;
+            isAddressTaken = false;
             Logger.info("the admin API listens on {}", channel.localAddress());
             return;
         }
         listener = null;
-        Logger.error("Failed to bind the admin API to {}: {}", address, failure.getMessage());
+        listenRetry = deadlines.scheduleAfter(LISTEN_RETRY_MICROS, this::listen);
+        if (!isAddressTaken) {
+            isAddressTaken = true;
+            Logger.warn("Failed to bind the admin API to {}, which is tried again: {}", address, failure.getMessage());
+        }
     }
 
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
@@ -127,11 +132,12 @@
         }
         listener = null;
         isListening = false;
+        isAddressTaken = false;
     }
 
-    /** Whether the server has its address. */
-    public boolean isListening() {
-        return isListening;
+    /** Whether the server is to listen and can't have its address. */
+    public boolean isAddressTaken() {
+        return isAddressTaken;
     }
 
     /** Returns the address that the server listens on; the configured one while it does not listen. */
--- a/src/test/java/badgermux/it/SettingsHandoverIT.java
+++ b/src/test/java/badgermux/it/SettingsHandoverIT.java
@@ -289,6 +289,69 @@
         }
     }
 
+    // ---- The address of the admin API
+
+    /** Guards against an admin API that nobody answers any more, where both processes are to have one address. */
+    @Test void adminAddressPassesToNextProcessAndBack() throws Exception {
+        answerAll();
+        int port = freePort();
+        Supervisor.Instance previous = startOn("127.0.0.1:" + port).awaitReady();
+        setMaxWidth(previous, 4000);
+        AtomicLong longestGapMillis = new AtomicLong();
+        AtomicBoolean isObserved = new AtomicBoolean(true);
+        Thread observer = startThread(() -> {
+            for (long last = System.nanoTime(); isObserved.get(); TimeUnit.MILLISECONDS.sleep(5)) {
+                try (Client client = new Client(port)) {
+                    assertEquals(200, client.callAdmin("GET", PREVIEWS, "", "").status());
+                } catch (IOException e) {
+                    continue;
+                }
+                long now = System.nanoTime();
+                longestGapMillis.accumulateAndGet(TimeUnit.NANOSECONDS.toMillis(now - last), Math::max);
+                last = now;
+            }
+        });
+        Supervisor.Instance next = startOn("127.0.0.1:" + port).awaitReady();
+        isObserved.set(false);
+        observer.join();
+        assertTrue(longestGapMillis.get() <= MAX_ADMIN_GAP_MILLIS, "no answer for " + longestGapMillis + " ms");
+        setMaxWidth(next, 640);
+        assertEquals(422, post(2000).status());
+        assertTrue(next.log().contains("the admin API listens on"));
+        next.signal("KILL");
+        previous.awaitLog("this one serves again");
+        Await.until("the admin API of the previous process", () -> {
+            try (Client client = new Client(port)) {
+                return client.callAdmin("GET", PREVIEWS, "", "").status() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        setMaxWidth(previous, 320);
+        assertEquals(422, post(640).status());
+    }
+
+    /** Guards against a process that nobody can call and that does not say so. */
+    @Test void startWithoutItsAdminAddressSaysSoAndTriesAgain() throws Exception {
+        Supervisor.Instance instance;
+        try (ServerSocket other = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String address = "127.0.0.1:" + other.getLocalPort();
+            instance = startOn(address).awaitReady().awaitLog("Failed to bind the admin API to");
+            assertEquals("200 ready, but the admin API can't listen on " + address + "\n", instance.callConsole("HEALTH"));
+            assertEquals(0, metric("admin_listening"));
+        }
+        instance.awaitLog("the admin API listens on");
+        assertEquals("200 ready\n", instance.callConsole("HEALTH"));
+        assertEquals(1, metric("admin_listening"));
+    }
+
+    private long metric(String name) throws IOException {
+        try (Client client = supervisor.client()) {
+            return client.get("/metrics").body().lines().filter(line -> line.startsWith("badgermux_" + name + ' '))
+                .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1))).findFirst().orElseThrow();
+        }
+    }
+
     // ---- Without a link, and with versions that do not replicate
 
     /** Guards against a process that writes its own settings over those that another one has stored. */
