OperatorSettings: a file that another process has replaced is read again

Callers would see: where two processes have no link (another TMPDIR, no console, an older version, or three of them at a time), a change that one of them kept did not count at the other until it was restarted.

Evidence: SettingsHandoverIT#processesWithoutLinkFollowTheFile fails without the watch, as the second process never has the description (it was this test's earlier form that asserted the 409 in its place; OperatorSettingsTest holds that now, with what is in force after it).

Tests for responses whose lines are under way while the description changes at either process, and two upgrades that overlap in the run of a hundred changes.

In a trial with the watch left out, #processesWithoutLinkFollowTheFile fails (timed out waiting for the description) and the two cases of responses under way pass.

--- a/src/main/java/badgermux/AdminService.java
+++ b/src/main/java/badgermux/AdminService.java
@@ -42,6 +42,8 @@
     private static final int MIN_TOKEN_CHARS = 16;
     /** The settings thread ends after this time without work. */
     private static final long THREAD_IDLE_SECONDS = 10;
+    /** How often a process looks whether the file of the settings has been replaced. */
+    private static final long FILE_WATCH_MICROS = 500_000;
 
     /** Null where the admin API is off. */
     private final InetSocketAddress listenAddress;
@@ -49,6 +51,8 @@
     private final String token;
     private final EventLoopGroup loop;
     private final ThreadPoolExecutor settingsThread = newSettingsThread();
+    /** Whether the settings have a file. */
+    private final boolean isStored;
     private final OperatorSettings settings;
     private final AdminDispatcher dispatcher;
     private final ContractResource contractResource;
@@ -77,8 +81,9 @@
         if (listenAddress != null && token == null && !listenAddress.getAddress().isLoopbackAddress()) {
             throw new ConfigException("--admin-token-file is required unless --admin is a loopback address");
         }
+        isStored = options.snapshot() != null;
         try {
-            settings = new OperatorSettings(SnapshotStore.open(options.snapshot() == null ? null : Path.of(options.snapshot()),
+            settings = new OperatorSettings(SnapshotStore.open(isStored ? Path.of(options.snapshot()) : null,
                 Set.of(ContractResource.SECTION, ZoneResource.SECTION)), loop);
             zoneResource = new ZoneResource(settings, clock);
             contractResource = loadContracts(settings);
@@ -155,12 +160,25 @@
         dispatcher.setForwarder(replication);
     }
 
-    /** Starts to listen if the admin API is on. Called on the event loop. */
+    /** Starts to listen if the admin API is on, and to watch the file. Called on the event loop. */
     void listen(Deadlines deadlines, Metrics metrics) {
         if (listenAddress != null) {
             server = new AdminServer(loop, deadlines, metrics, dispatcher, listenAddress, token);
             server.listen();
         }
+        if (isStored) {
+            watchFile(deadlines);
+        }
+    }
+
+    /** Follows a process that this one has no link to and that writes the same file. */
+    private void watchFile(Deadlines deadlines) {
+        runOnSettingsThread(settings::reloadIfReplaced, failure -> {
+            if (failure != null) {
+                Logger.error("The stored settings are not used: {}", failure);
+            }
+            deadlines.scheduleAfter(FILE_WATCH_MICROS, () -> watchFile(deadlines));
+        });
     }
 
     /** Returns what keeps operators from calling the admin API; null if nothing does or it is off. */
--- a/src/main/java/badgermux/operator/OperatorSettings.java
+++ b/src/main/java/badgermux/operator/OperatorSettings.java
@@ -124,6 +124,17 @@
         }
     }
 
+    /**
+     * Does the same as {@link #reload} if the file has been replaced, as by a process that this one has no link to.
+     *
+     * @throws SnapshotException if it can't be used: the current one stays in force
+     */
+    public void reloadIfReplaced() throws Exception {
+        if (store.isFileReplaced()) {
+            reload();
+        }
+    }
+
     private void install(Snapshot snapshot, Runnable adoption) throws Exception {
         List<SettingsSection.Installation> installations = new ArrayList<>();
         for (SettingsSection section : sections) {
--- a/src/main/java/badgermux/operator/SnapshotStore.java
+++ b/src/main/java/badgermux/operator/SnapshotStore.java
@@ -10,7 +10,9 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.tinylog.Logger;
@@ -32,6 +34,8 @@
     /** Checksums of the snapshots that the file may hold: the one it held when last read or written, and all adopted since. */
     private final Set<String> knownChecksums = new HashSet<>();
     private volatile Snapshot current;
+    /** Identifies the file's content as of the last {@link #isFileReplaced}; null where there was no file. */
+    private List<Object> fileIdentity;
     private boolean failureLogged;
 
     private SnapshotStore(Path file, Set<String> sections, Snapshot current) {
@@ -91,6 +95,21 @@
             : stored;
     }
 
+    /** Whether the file has been replaced since the last call, by this process or another one; true at the first call. */
+    public boolean isFileReplaced() {
+        List<Object> identity;
+        try {
+            BasicFileAttributes attributes = file == null ? null : Files.readAttributes(file, BasicFileAttributes.class);
+            identity = attributes == null ? null
+                : List.of(String.valueOf(attributes.fileKey()), attributes.lastModifiedTime(), attributes.size());
+        } catch (IOException e) {
+            identity = null;
+        }
+        boolean isReplaced = identity != null && !identity.equals(fileIdentity);
+        fileIdentity = identity;
+        return isReplaced;
+    }
+
     /** Returns the stored snapshot; null where there is none. */
     private Snapshot readFile() throws SnapshotException {
         if (file == null) {
