FrontendConnection: a client cut off for too much input keeps its open request

Cause: the cut cancelled the request that was open at a backend. Cancelled work may run on, and the module reckons with it, so each cut took a place for nothing.

A reading limit that holds a request back until all input is read was considered: it depends on who is faster.

--- a/src/main/java/badgermux/front/FrontendConnection.java
+++ b/src/main/java/badgermux/front/FrontendConnection.java
@@ -39,6 +39,8 @@
     private static final int INITIAL_BUFFER_BYTES = 1024;
     /** How many bytes may follow a queued request: clients send one request at a time. */
     static final int MAX_PIPELINED_BYTES = 1 << 20;
+    /** How long a client that has sent too much is left its open request before it is rejected. */
+    private static final long EXCESS_INPUT_GRACE_MICROS = READ_TIMEOUT_MICROS;
 
     private final Frontend frontend;
     private final SocketChannel channel;
@@ -69,6 +71,8 @@
     /** Whether the last request of the connection has been received: input behind it is not read as a request. */
     private boolean isInputEnded;
     private long discardedBytes;
+    /** What the client is told that has sent too much, behind the answer to its open request; null if it has not. */
+    private String excessInputMessage;
     private long closingMicros;
     private boolean hasSentRequest;
     private boolean isProcessing;
@@ -173,13 +177,39 @@
         }
         discardedBytes += in.readableBytes();
         in.release();
-        if (discardedBytes > MAX_DISCARDED_BYTES) {
-            if (isClosing) {
-                abort();
-            } else {
-                reject(413, "too much is sent behind the last request");
-            }
+        if (discardedBytes <= MAX_DISCARDED_BYTES) {
+            return;
+        }
+        if (isClosing) {
+            abort();
+        } else {
+            rejectExcessInput("too much is sent behind the last request");
+        }
+    }
+
+    private void closeAfterExcessInput() {
+        sendErrorAndClose(413, "Rejected", excessInputMessage);
+    }
+
+    /**
+     * Rejects the connection of a client that has sent too much. Its input is discarded from here on, but an open request is left
+     * its time to be answered: work that is cancelled may keep a backend busy, which would cost other clients their answers
+     * whenever such a client comes again.
+     */
+    private void rejectExcessInput(String message) {
+        if (excessInputMessage != null) {
+            return;
         }
+        if (currentRequest == null) {
+            reject(413, message);
+            return;
+        }
+        frontend.metrics().increment(Count.BAD_MESSAGES);
+        excessInputMessage = message;
+        isInputEnded = true;
+        discardInput();
+        frontend.deadlines().cancel(readTimeout);
+        readTimeout = frontend.deadlines().scheduleAfter(EXCESS_INPUT_GRACE_MICROS, this::closeAfterExcessInput);
     }
 
     /**
@@ -216,7 +246,7 @@
         if (!unreadInput.isReadable()) {
             unreadInput.clear().capacity(isClosing || isClosed ? 0 : INITIAL_BUFFER_BYTES);
         }
-        if (!isClosed && !isClosing) {
+        if (!isClosed && !isClosing && excessInputMessage == null) {
             updateState();
             limitPipelining();
         }
@@ -238,7 +268,7 @@
      */
     private void limitPipelining() {
         if (unreadInput.readableBytes() > MAX_PIPELINED_BYTES) {
-            reject(413, "too much is sent ahead of an answer");
+            rejectExcessInput("too much is sent ahead of an answer");
         }
     }
 
@@ -383,6 +413,10 @@
             lingeringClose(written);
             return;
         }
+        if (excessInputMessage != null) {
+            closeAfterExcessInput();
+            return;
+        }
         if (!written.isDone()) {
             awaitAnswerRead(written);
         }
@@ -523,7 +557,7 @@
             abort();
             frontend.clientMemory().update(this, 0);
         } else if (queuedRequest != null) {
-            reject(413, "too much is sent ahead of an answer");
+            rejectExcessInput("too much is sent ahead of an answer");
         } else if (receivingRequest != null && receivingRequest.receivedBodyBytes() > 0) {
             receivingRequest.dropBody();
             updateMemory();
