--- a/src/test/java/badgermux/it/ClientFloodIT.java
+++ b/src/test/java/badgermux/it/ClientFloodIT.java
@@ -36,7 +36,7 @@
     @BeforeEach void start() throws IOException {
         backend = new FakeServer();
         program = Program.startWithConsole(folder, member("s-1", backend, "east", "SERVING"), 1024);
-        startDaemon(() -> backend.answerAll("r"));
+        Daemon.start(() -> backend.answerAll("r"));
         // Compiles and loads what the first requests need.
         for (int i = 0; i < 100; i++) {
             try (Client client = program.client()) {
@@ -50,28 +50,12 @@
         backend.close();
     }
 
-    private interface IoTask {
-        void run() throws IOException;
-    }
-
-    private static void startDaemon(IoTask task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | AssertionError e) {
-                // the program has closed the connection, or the test has ended
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** Sends and reads without a pause on one connection after another, until the program ends. */
     private void startFlood(Supplier<String> requests) {
-        startDaemon(() -> {
+        Daemon.start(() -> {
             while (program.process.isAlive()) {
                 try (Client client = program.client()) {
-                    startDaemon(client::readAll);
+                    Daemon.start(client::readAll);
                     while (true) {
                         client.send(requests.get());
                     }
@@ -136,7 +120,7 @@
 
     /** The same with sound requests under ever new names, 500 of which are sent ahead of their answers. */
     @Test void requestsSentAheadInBatchesDoNotHoldUpOthers() throws IOException, InterruptedException {
-        startDaemon(() -> {
+        Daemon.start(() -> {
             try (Client client = program.client()) {
                 while (program.process.isAlive()) {
                     client.send(soundRequests(SENT_AHEAD));
--- a/src/test/java/badgermux/it/HandoverPeer.java
+++ b/src/test/java/badgermux/it/HandoverPeer.java
@@ -21,7 +21,7 @@
 
     private HandoverPeer(Socket socket) {
         this.socket = socket;
-        startDaemon(() -> {
+        Daemon.start(() -> {
             BufferedReader reader = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
                 lines.add(line);
@@ -30,22 +30,6 @@
         });
     }
 
-    private interface IoTask {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static void startDaemon(IoTask task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                // the link is closed
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** Connects to the process that left its address in the folder, as the next one, and waits for its state. */
     static HandoverPeer connectAsNext(Path folder) throws IOException, InterruptedException {
         Path file = folder.resolve("badgermux-n/console");
@@ -80,7 +64,7 @@
     }
 
     private void startHeartbeat() {
-        startDaemon(() -> {
+        Daemon.start(() -> {
             while (true) {
                 send("OPEN 0 0");
                 TimeUnit.MILLISECONDS.sleep(HEARTBEAT_MILLIS);
--- a/src/test/java/badgermux/it/SettingsHandoverIT.java
+++ b/src/test/java/badgermux/it/SettingsHandoverIT.java
@@ -107,36 +107,6 @@
         }
     }
 
-    private void answerAll() {
-        startThread(() -> {
-            while (!isStopped.get()) {
-                FakeServer.Exchange exchange = backend.poll();
-                if (exchange == null) {
-                    TimeUnit.MILLISECONDS.sleep(1);
-                } else {
-                    exchange.sendResult("r");
-                }
-            }
-        });
-    }
-
-    private interface IoTask {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static Thread startThread(IoTask task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException | AssertionError e) {
-                // the process it speaks to ends or has ended
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-        return thread;
-    }
-
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
@@ -191,7 +161,7 @@
         setMaxWidth(running.get(0), 1_000);
         AtomicLong revisionSeen = new AtomicLong();
         AtomicInteger revisionsGoneBack = new AtomicInteger();
-        startThread(() -> observeRevisions(revisionSeen, revisionsGoneBack));
+        Daemon.start(() -> observeRevisions(revisionSeen, revisionsGoneBack));
         long revision = 1;
         for (int change = 1; change <= 100; change++) {
             if (change == 10 || change == 40 || change == 60) {
@@ -247,7 +217,6 @@
     /** Guards against a process that serves again by its own settings, after the next one has changed them and ended. */
     @ParameterizedTest @ValueSource(strings = {"KILL", "STOP"})
     void previousProcessTakesSettingsBackWhenNextDiesOrHangs(String signal) throws Exception {
-        answerAll();
         Supervisor.Instance previous = start().awaitReady();
         setMaxWidth(previous, 4000);
         Supervisor.Instance next = start().awaitReady();
@@ -262,6 +231,7 @@
         next.signal("KILL");
         setMaxWidth(previous, 320);
         assertEquals(422, post(640).status());
+        Daemon.start(() -> backend.answerAll("r"));
         assertEquals(200, post(320).status());
     }
 
@@ -274,7 +244,7 @@
             Supervisor.Instance instance = start().awaitReady();
             AtomicInteger acknowledged = new AtomicInteger(kept);
             setMaxWidth(instance, kept);
-            Thread changes = startThread(() -> {
+            Thread changes = Daemon.start(() -> {
                 while (true) {
                     setMaxWidth(instance, acknowledged.get() + 1);
                     acknowledged.incrementAndGet();
@@ -295,13 +265,12 @@
 
     /** Guards against an admin API that nobody answers any more, where both processes are to have one address. */
     @Test void adminAddressPassesToNextProcessAndBack() throws Exception {
-        answerAll();
         int port = freePort();
         Supervisor.Instance previous = startOn("127.0.0.1:" + port).awaitReady();
         setMaxWidth(previous, 4000);
         AtomicLong longestGapMillis = new AtomicLong();
         AtomicBoolean isObserved = new AtomicBoolean(true);
-        Thread observer = startThread(() -> {
+        Thread observer = Daemon.start(() -> {
             for (long last = System.nanoTime(); isObserved.get(); TimeUnit.MILLISECONDS.sleep(5)) {
                 try (Client client = new Client(port)) {
                     assertEquals(200, client.callAdmin("GET", PREVIEWS, "", "").status());
@@ -456,7 +425,7 @@
             assertTrue(next.await("SETTINGS SNAPSHOT ").contains("4000"));
             next.send("SETTINGS CLAIM 127.0.0.1:1");
             assertEquals("1", next.await("SETTINGS GRANT "));
-            startThread(() -> {
+            Daemon.start(() -> {
                 String[] call = next.await("SETTINGS CALL ").split(" ", 2);
                 assertTrue(call[1].contains("\"ifMatch\":\"*\""), call[1]);
                 next.send("SETTINGS REPLY " + call[0] + " {\"status\":418,\"headers\":\"\",\"body\":\"\"}");
@@ -473,7 +442,7 @@
         Supervisor.Instance previous = start().awaitReady();
         HandoverPeer next = HandoverPeer.connectAsNext(folder);
         next.send("SETTINGS FOLLOW ").send("SETTINGS CLAIM -").await("SETTINGS GRANT ");
-        startThread(() -> {
+        Daemon.start(() -> {
             next.await("SETTINGS CALL ");
             next.close();
         });
