ClientMemoryIT: other clients have a backend of their own

Seen: #inputBehindLastRequestIsNotKept failed with "no request received in time" in 1 of 4 runs beside load elsewhere, and in 1 of 6 here.

Cause, in the test: its only backend kept the crowd's 300 requests and never said that it had started one, so the module rightly saw a backlog of 300 run times at it. Whether others were held by that depended on the run time learnt from the first answer: within a few ms they went ahead, beside load they were held until the crowd's time was up, or refused.

Evidence: where it was slow, the second request waited 2.5 to 3.9 s and the first none (the log tells of no ejection). A crowd that is 1.5 to 3 s old does not reproduce it; an answer that takes 20 ms does, at once: the second request waits 3.5 s. Starting the crowd's requests alone does not help (503).

Change: the crowd's backend starts its requests and goes on with them, and is cordoned before the others come; these have a second backend, which the crowd can't use. As strict: others still have to be served while the crowd holds all that it can, with the same bound on memory.

--- a/src/test/java/badgermux/it/ClientMemoryIT.java
+++ b/src/test/java/badgermux/it/ClientMemoryIT.java
@@ -31,14 +31,20 @@
     private static final int SENDERS = 16;
 
     @TempDir private Path folder;
+    /** Begins with the requests of the crowd, and does not end them. */
+    private FakeServer crowdBackend;
+    /** Answers the requests of other clients. */
     private FakeServer backend;
     private Program program;
     private final List<Client> crowd = new ArrayList<>();
     private ExecutorService senders;
 
     @BeforeEach void start() throws IOException {
+        crowdBackend = new FakeServer();
         backend = new FakeServer();
-        program = Program.startWithConsole(folder, member("s-1", backend, "east", "SERVING"), 1024);
+        program = Program.startWithConsole(folder, member("s-1", crowdBackend, "east", "SERVING") + ","
+            + member("s-2", backend, "east", "SERVING"), 1024);
+        assertEquals("200 out: s-2\n", program.callConsole("OFFLINE s-2"));
         senders = Executors.newFixedThreadPool(SENDERS, task -> {
             Thread thread = new Thread(task, "crowd");
             thread.setDaemon(true);
@@ -52,11 +58,29 @@
             client.close();
         }
         program.close();
+        crowdBackend.close();
         backend.close();
     }
 
+    /** Starts each request that comes to the backend of the crowd. */
+    private void startCrowdRequests() throws InterruptedException {
+        while (true) {
+            FakeServer.Exchange exchange = crowdBackend.poll();
+            if (exchange == null) {
+                TimeUnit.MILLISECONDS.sleep(1);
+                continue;
+            }
+            try {
+                exchange.sendStarted();
+            } catch (IOException e) {
+                // the request has ended meanwhile
+            }
+        }
+    }
+
     /** Connects a crowd each of whose clients sends a text; a client that is closed by the program sends no more. */
     private void sendFromCrowd(int size, String text) throws IOException, InterruptedException {
+        Daemon.start(this::startCrowdRequests);
         for (int i = 0; i < size; i++) {
             Client client = program.client();
             crowd.add(client);
@@ -78,13 +102,16 @@
         assertOthersAreServed("sound");
     }
 
-    /** The same with this body in the requests. */
+    /**
+     * The same with this body in the requests. They have a backend of their own: at that of the crowd, whose requests all stay
+     * open, they would rightly be held, for as long as its queue seems to take by the run times seen before.
+     */
     private void assertOthersAreServed(String body) throws IOException, InterruptedException {
+        assertEquals("200 back: s-2\n", program.callConsole("ONLINE s-2"));
+        assertEquals("200 out: s-1\n", program.callConsole("OFFLINE s-1"));
         for (int i = 0; i < 20; i++) {
-            try (Client other = program.client()) {
-                String id = Client.nextRequestId();
-                other.send("POST /preview HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id
-                    + "\r\nX-Timeout: 5000m\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            String id = Client.nextRequestId();
+            try (Client other = program.client().send(Client.requestWithId(id, "/preview", "5000m", "", body))) {
                 FakeServer.Exchange exchange = backend.take();
                 while (!id.equals(exchange.header("X-Request-ID"))) {
                     exchange = backend.take();
